--- /dev/null
+++ b/src/core/books.ts
@@ -0,0 +1,525 @@
+import {
+  ATTEMPTS_PER_TERM,
+  CLOCK_DRIFT,
+  LOST_REPORTS,
+  ORDER_UNSENT_MS,
+  PASS_AGAIN_MS,
+  SILENT_REPORTS,
+  WORKER_LEASE_MARGIN_MS,
+} from '../constants.js';
+import { decodeDone } from './jobs.js';
+import {
+  add,
+  largestCapacity,
+  RESOURCE_KINDS,
+  PRIORITY_RANK,
+  ZERO,
+  type JobRecord,
+  type JobSpec,
+  type MachineRecord,
+  type MachineType,
+  type ResourceKind,
+  type Resources,
+  type TaskRange,
+  type Team,
+} from './model.js';
+
+/** A task on a machine, from the decision to start it until it is proven gone. */
+export interface Placement {
+  readonly job: JobState;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: MachineState;
+  state: 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving';
+  readonly orderedAt: number;
+  /** counter of the report whose answer carried the start; null: not sent yet */
+  sentCounter: number | null;
+  seen: boolean;
+  /** a start was sent directly and may be carried out at any time until the session ends */
+  direct: boolean;
+  runningSince: number | null;
+  stop: { at: number; graceS: number; sentDirect: boolean } | null;
+}
+
+export interface JobState {
+  readonly spec: JobSpec;
+  readonly rank: number;
+  readonly acceptedAt: number;
+  /** first seen here, steady ms */
+  readonly seenAt: number;
+  /** tasks of this part that are neither saved nor placed, in order of number */
+  waiting: number[];
+  readonly own: Set<number>;
+  /** tasks that an earlier owner of the part may have started */
+  readonly inherited: Set<number>;
+  readonly placed: Map<number, Placement>;
+  readonly saved: Set<number>;
+  readonly unsaved: Set<number>;
+  /** done or cancelled: nothing starts, what runs is stopped */
+  over: boolean;
+  pausedUntil: number;
+  failures: number;
+  readonly avoid: Map<string, number>;
+  /** a gang that lost a task: nothing starts before all of it is gone */
+  broken: boolean;
+  /** since when tasks wait without room, steady ms */
+  stuckSince: number | null;
+  /** tasks that are being passed to another part: they start nowhere until that is settled */
+  passing: number[];
+  /** the earliest time of the next pass */
+  passAfter: number;
+}
+
+export interface MachineState {
+  record: MachineRecord;
+  readonly type: MachineType | null;
+  readonly since: number;
+  address: string | null;
+  session: number;
+  counter: number;
+  /** sessions below this are over, by the clock */
+  leastSession: number;
+  lastBeatAt: number;
+  answeredAt: number;
+  /** a report under our term has come: its task list is complete */
+  known: boolean;
+  everKnown: boolean;
+  firstKnownAt: number | null;
+  noticeAt: number | null;
+  readonly tasks: Map<string, Placement>;
+  /** reported tasks that have no place in our books and are being stopped */
+  foreign: number;
+  /** attempts whose direct start may still be under way: forgetting them could start them again */
+  readonly doubtful: Set<string>;
+  readonly images: Map<string, number>;
+  readonly failedJobs: Set<string>;
+  condemned: boolean;
+  /** to be returned: no starts, and what runs is stopped */
+  leaving: boolean;
+  returning: boolean;
+  fullUntil: number;
+  hold: { uid: string; until: number } | null;
+  idleSince: number;
+  free: Resources;
+}
+
+export interface PartSettings {
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly types: ReadonlyMap<string, MachineType>;
+  readonly preempt: boolean;
+  /** images that an earlier owner knew on a machine, with their sizes */
+  readonly imagesOf: (machine: string) => ReadonlyMap<string, number>;
+  /** seconds from acceptance by which tasks of a class should start, the earliest first */
+  readonly startWithin: (jobClass: string) => readonly number[];
+}
+
+/** What the state service says about this part. */
+export interface PartView {
+  readonly jobs: ReadonlyMap<string, { readonly value: JobRecord }>;
+  readonly done: ReadonlyMap<string, { readonly value: string }>;
+  readonly machines: ReadonlyMap<string, { readonly value: MachineRecord }>;
+}
+
+export interface TaskEvent {
+  readonly what: 'placed' | 'running' | 'ended' | 'released' | 'adopted' | 'stopping';
+  readonly uid: string;
+  readonly index: number;
+  readonly machine: string;
+  readonly attempt: number;
+  /** s since the job was seen here */
+  readonly afterS: number;
+  readonly detail?: string;
+}
+
+export interface FinishedRun {
+  readonly jobClass: string;
+  readonly runS: number;
+}
+
+export const attemptKey = (p: Placement) => `${p.job.spec.uid}/${p.index}@${p.attempt}`;
+
+/** No order to start it has left: it can be taken back at once. */
+export const neverSent = (p: Placement): boolean => !p.seen && !p.direct && p.sentCounter === null;
+
+export const taskKey = (uid: string, index: number) => `${uid}/${index}`;
+
+/**
+ * What one part knows under one term: its jobs, its machines, and which task is where. The other
+ * modules of a part read and change it; nothing here decides where something should run.
+ */
+export class Books {
+  readonly jobs = new Map<string, JobState>();
+  readonly machines = new Map<string, MachineState>();
+  /** what happened to tasks, for the log */
+  happened: TaskEvent[] = [];
+  /** run times of finished tasks, for whoever learns from them */
+  finishedRuns: FinishedRun[] = [];
+  /** returned machines whose record is not dropped yet */
+  readonly gone = new Set<string>();
+  largest: Resources;
+  attempts = 0;
+
+  constructor(
+    readonly index: number,
+    readonly term: number,
+    readonly settings: PartSettings,
+  ) {
+    this.largest = largestCapacity(settings.types.values());
+  }
+
+  // --- wanted state in ---------------------------------------------------------------------------
+
+  /** Takes over what the state service says: jobs and machines come and go. */
+  sync(view: PartView, now: number): void {
+    for (const { value: record } of view.machines.values()) {
+      if (record.part !== this.index) continue;
+      const known = this.machines.get(record.name);
+      if (known !== undefined) known.record = record;
+      else if (!this.gone.has(record.name)) this.#addMachine(record, now);
+    }
+    for (const m of [...this.machines.values()]) {
+      const record = view.machines.get(m.record.name)?.value;
+      if (record === undefined || record.part !== this.index) this.machineGone(m.record.name, now);
+    }
+    for (const { value: record } of view.jobs.values()) this.#syncJob(record, view, now);
+    for (const job of [...this.jobs.values()]) {
+      const record = view.jobs.get(job.spec.uid)?.value;
+      if (record === undefined || !record.ranges.some((r) => r.part === this.index)) {
+        this.#endJob(job, now);
+      }
+    }
+  }
+
+  #addMachine(record: MachineRecord, now: number): void {
+    const type = this.settings.types.get(record.type) ?? null;
+    this.machines.set(record.name, {
+      record,
+      type,
+      since: now,
+      address: null,
+      session: 0,
+      counter: -1,
+      leastSession: 0,
+      lastBeatAt: -Infinity,
+      answeredAt: -Infinity,
+      known: false,
+      everKnown: false,
+      firstKnownAt: null,
+      noticeAt: null,
+      tasks: new Map(),
+      foreign: 0,
+      doubtful: new Set(),
+      images: new Map(this.settings.imagesOf(record.name)),
+      failedJobs: new Set(),
+      condemned: false,
+      leaving: false,
+      returning: false,
+      fullUntil: -Infinity,
+      hold: null,
+      idleSince: now,
+      free: type ?? ZERO,
+    });
+  }
+
+  #syncJob(record: JobRecord, view: PartView, now: number): void {
+    const spec = record.spec;
+    let job = this.jobs.get(spec.uid);
+    if (job !== undefined && job.passing.length > 0) return;
+    for (const range of record.ranges) {
+      if (range.part !== this.index || (job !== undefined && job.own.has(range.from))) continue;
+      job ??= {
+        spec,
+        rank: PRIORITY_RANK[spec.priority],
+        acceptedAt: record.at,
+        seenAt: now,
+        waiting: [],
+        own: new Set(),
+        inherited: new Set(),
+        placed: new Map(),
+        saved: new Set(),
+        unsaved: new Set(),
+        over: false,
+        pausedUntil: -Infinity,
+        failures: 0,
+        avoid: new Map(),
+        broken: false,
+        stuckSince: null,
+        passing: [],
+        passAfter: -Infinity,
+      };
+      this.jobs.set(spec.uid, job);
+      const bits = view.done.get(`${spec.uid}/${range.from}`)?.value;
+      const done = bits === undefined ? new Set<number>() : decodeDone(range, bits);
+      for (let i = range.from; i < range.to; i++) {
+        job.own.add(i);
+        if (range.era !== this.term) job.inherited.add(i);
+        if (done.has(i)) job.saved.add(i);
+        else job.waiting.push(i);
+      }
+    }
+  }
+
+  /**
+   * Tasks at the end of a range that may pass to another part: all of a job that stays whole, else as
+   * many as have never been placed since the range's last placed task. Nothing of it may be running,
+   * so an inherited range must be rebuilt first.
+   */
+  passable(job: JobState, record: JobRecord): { range: TaskRange; from: number } | null {
+    if (job.over || job.passing.length > 0) return null;
+    if (job.inherited.size > 0 && !this.rebuilt) return null;
+    const waiting = new Set(job.waiting);
+    const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
+    if (whole && (job.placed.size > 0 || job.saved.size + job.unsaved.size > 0)) return null;
+    for (const range of record.ranges) {
+      if (range.part !== this.index) continue;
+      let from = range.to;
+      while (from > range.from && waiting.has(from - 1)) from -= 1;
+      if (from < range.to && !(whole && from > range.from)) return { range, from };
+    }
+    return null;
+  }
+
+  /** The tasks leave the queue before the transaction that passes them is sent. */
+  beginPass(job: JobState, from: number, to: number): void {
+    job.passing = job.waiting.filter((i) => i >= from && i < to);
+    job.waiting = job.waiting.filter((i) => i < from || i >= to);
+  }
+
+  /** Settled: they belong to the other part now, or are ours as before. */
+  endPass(job: JobState, passed: boolean, now: number): void {
+    const tasks = job.passing;
+    job.passing = [];
+    job.passAfter = now + PASS_AGAIN_MS;
+    job.stuckSince = null;
+    if (!passed) {
+      if (!job.over) job.waiting = [...job.waiting, ...tasks].sort((a, b) => a - b);
+      return;
+    }
+    for (const i of tasks) {
+      job.own.delete(i);
+      job.inherited.delete(i);
+    }
+  }
+
+  #endJob(job: JobState, now: number): void {
+    job.over = true;
+    job.waiting = [];
+    job.unsaved.clear();
+    for (const p of [...job.placed.values()]) this.requestStop(p, 0, now);
+    if (job.placed.size === 0) this.jobs.delete(job.spec.uid);
+  }
+
+  /** A transaction has saved these completions. */
+  saved(uid: string, indexes: Iterable<number>): void {
+    const job = this.jobs.get(uid);
+    if (job === undefined) return;
+    for (const i of indexes) {
+      job.unsaved.delete(i);
+      job.saved.add(i);
+    }
+  }
+
+  note(what: TaskEvent['what'], p: Placement, now: number, detail?: string): void {
+    this.happened.push({
+      what,
+      uid: p.job.spec.uid,
+      index: p.index,
+      machine: p.machine.record.name,
+      attempt: p.attempt,
+      afterS: Math.round((now - p.job.seenAt) / 100) / 10,
+      ...(detail === undefined ? {} : { detail }),
+    });
+  }
+
+  // --- what can still be running -----------------------------------------------------------------
+
+  /** An earlier owner may have started something there. */
+  inherited(m: MachineState): boolean {
+    return m.record.era !== this.term && m.record.up;
+  }
+
+  /** Machines that report, but whose record does not say so yet: nothing may start there. */
+  justUp(): MachineState[] {
+    return [...this.machines.values()].filter((m) => m.known && !m.record.up && !m.returning);
+  }
+
+  /** True once every machine that an earlier owner could have used has answered us or is gone. */
+  get rebuilt(): boolean {
+    for (const m of this.machines.values()) {
+      if (this.inherited(m) && !m.everKnown) return false;
+    }
+    return true;
+  }
+
+  /** An answered return, or a taken-over record: nothing of ours is on that machine any more. */
+  machineGone(name: string, now: number): void {
+    const m = this.machines.get(name);
+    if (m === undefined) return;
+    this.gone.add(name);
+    for (const p of [...m.tasks.values()]) this.release(p, now);
+    this.machines.delete(name);
+  }
+
+  release(p: Placement, now: number, why = 'gone'): void {
+    const job = p.job;
+    this.note(p.seen ? 'ended' : 'released', p, now, why);
+    p.machine.tasks.delete(taskKey(job.spec.uid, p.index));
+    if (job.placed.get(p.index) === p) job.placed.delete(p.index);
+    this.recount(p.machine, now);
+    if (job.over) {
+      if (job.placed.size === 0) this.jobs.delete(job.spec.uid);
+      return;
+    }
+    const done = job.saved.has(p.index) || job.unsaved.has(p.index);
+    if (!done) job.waiting.push(p.index);
+    if (job.spec.kind === 'gang') {
+      if (job.placed.size === 0) {
+        job.broken = false;
+        job.waiting.sort((a, b) => a - b);
+      } else if (!done && !job.broken) {
+        job.broken = true;
+        for (const other of [...job.placed.values()]) this.requestStop(other, 0, now);
+      }
+    }
+  }
+
+  recount(m: MachineState, now: number): void {
+    let free: Resources = m.type ?? ZERO;
+    for (const p of m.tasks.values()) free = add(free, p.job.spec.demand, -1);
+    m.free = free;
+    if (m.tasks.size > 0) m.idleSince = now;
+  }
+
+  requestStop(p: Placement, graceS: number, now: number): void {
+    if (neverSent(p)) {
+      this.release(p, now);
+      return;
+    }
+    if (p.stop !== null && p.stop.graceS <= graceS) return;
+    p.stop = { at: now, graceS, sentDirect: false };
+    this.note('stopping', p, now, `grace ${graceS} s`);
+  }
+
+  /** Machines of an earlier term that should be told of ours at once. */
+  unknownMachines(): MachineState[] {
+    return [...this.machines.values()].filter(
+      (m) => !m.known && !m.returning && (m.session > 0 || this.inherited(m)),
+    );
+  }
+
+  // --- time --------------------------------------------------------------------------------------
+
+  /** Leases that ran out, starts that were never sent, holds that nobody used. */
+  age(now: number): void {
+    const leaseMs = this.settings.leaseMs * (1 + CLOCK_DRIFT) + WORKER_LEASE_MARGIN_MS;
+    for (const m of this.machines.values()) {
+      if (m.known && now - m.answeredAt > leaseMs) {
+        // Only our answers renew a lease under our term, and the last is too old: the worker has
+        // killed its tasks, whether or not it can be reached.
+        m.known = false;
+        m.leastSession = m.session + 1;
+        for (const p of [...m.tasks.values()]) this.release(p, now);
+      }
+      for (const p of [...m.tasks.values()]) {
+        if (neverSent(p) && now - p.orderedAt > ORDER_UNSENT_MS) this.release(p, now);
+      }
+      if (m.hold !== null && now > m.hold.until) m.hold = null;
+    }
+  }
+
+  /** Silent for so long that the machine is better given back than waited for. */
+  isLost(m: MachineState, now: number): boolean {
+    const last = Math.max(m.lastBeatAt, m.since);
+    const expected = m.everKnown || this.inherited(m);
+    return expected && now - last > this.settings.reportMs * LOST_REPORTS;
+  }
+
+  isFresh(m: MachineState, now: number): boolean {
+    return m.known && now - m.lastBeatAt <= this.settings.reportMs * SILENT_REPORTS;
+  }
+
+  /** Booked share of the part: the largest over the resources, waiting tasks included. */
+  load(now: number): number {
+    let capacity = ZERO;
+    let booked = ZERO;
+    for (const m of this.machines.values()) {
+      const dying = m.leaving || m.returning || m.condemned || m.noticeAt !== null;
+      if (m.type === null || dying || (m.everKnown && !this.isFresh(m, now))) continue;
+      capacity = add(capacity, m.type);
+    }
+    for (const job of this.jobs.values()) {
+      booked = add(booked, job.spec.demand, job.placed.size + job.waiting.length);
+    }
+    if (booked.cpus + booked.gpus + booked.memoryGb === 0) return 0;
+    // A part without machines counts as one machine: what is booked there still tells parts apart.
+    const share = (k: ResourceKind) =>
+      booked[k] === 0 ? 0 : booked[k] / Math.max(capacity[k], this.largest[k]);
+    return Math.max(...RESOURCE_KINDS.map(share));
+  }
+
+  /** Tasks that wait for room. */
+  waiting(): number {
+    let count = 0;
+    for (const job of this.jobs.values()) count += job.waiting.length;
+    return count;
+  }
+
+  /** Machines that could take a task now, for the routing of other nodes. */
+  rooms(now: number): MachineState[] {
+    return [...this.machines.values()].filter((m) => this.usable(m, now) && m.hold === null);
+  }
+
+  // --- placements --------------------------------------------------------------------------------
+
+  usable(m: MachineState, now: number): boolean {
+    return (
+      this.isFresh(m, now) &&
+      m.record.up &&
+      m.type !== null &&
+      !m.condemned &&
+      !m.leaving &&
+      !m.returning &&
+      m.noticeAt === null &&
+      m.foreign === 0 &&
+      m.fullUntil <= now
+    );
+  }
+
+  nextAttempt(): number {
+    this.attempts += 1;
+    return this.term * ATTEMPTS_PER_TERM + this.attempts;
+  }
+
+  place(
+    job: JobState,
+    index: number,
+    attempt: number,
+    m: MachineState,
+    now: number,
+    what: 'placed' | 'adopted' = 'placed',
+  ): Placement {
+    const p: Placement = {
+      job,
+      index,
+      attempt,
+      machine: m,
+      state: 'ordered',
+      orderedAt: now,
+      sentCounter: null,
+      seen: false,
+      direct: false,
+      runningSince: null,
+      stop: null,
+    };
+    const at = job.waiting.indexOf(index);
+    if (at >= 0) job.waiting.splice(at, 1);
+    job.placed.set(index, p);
+    m.tasks.set(taskKey(job.spec.uid, index), p);
+    if (m.hold?.uid === job.spec.uid) m.hold = null;
+    this.recount(m, now);
+    this.note(what, p, now, m.images.has(job.spec.image) ? 'image held' : 'image to fetch');
+    return p;
+  }
+}
--- /dev/null
+++ b/src/core/orders.ts
@@ -0,0 +1,99 @@
+import { STOP_OVERDUE_S } from '../constants.js';
+import {
+  attemptKey,
+  neverSent,
+  taskKey,
+  type Books,
+  type MachineState,
+  type Placement,
+} from './books.js';
+import type { Command, Report } from './model.js';
+
+/** The commands that make workers do what the books say. */
+export class Orders {
+  constructor(private readonly books: Books) {}
+
+  #stopCommand(p: Placement, now: number): Command {
+    const stop = p.stop!;
+    const overdue = now - stop.at > (stop.graceS + STOP_OVERDUE_S) * 1000;
+    return {
+      op: 'stop',
+      uid: p.job.spec.uid,
+      index: p.index,
+      attempt: p.attempt,
+      graceS: overdue ? 0 : stop.graceS,
+    };
+  }
+
+  answer(m: MachineState, report: Report, now: number, mayStart: boolean): Command[] {
+    const out: Command[] = [];
+    for (const t of report.tasks) {
+      const { uid, index, attempt } = t;
+      const job = this.books.jobs.get(uid);
+      if (t.state === 'exited') {
+        // A completion is forgotten by its worker only once it is saved.
+        const unsaved = t.why === 'done' && job !== undefined && job.unsaved.has(index);
+        const again = m.doubtful.has(`${uid}/${index}@${attempt}`);
+        if (!unsaved && !again) out.push({ op: 'forget', uid, index, attempt });
+        continue;
+      }
+      const p = m.tasks.get(taskKey(uid, index));
+      if (p === undefined || p.attempt !== attempt) {
+        out.push({ op: 'stop', uid, index, attempt, graceS: 0 });
+      } else if (p.stop !== null) out.push(this.#stopCommand(p, now));
+    }
+    for (const p of m.tasks.values()) {
+      if (p.seen) continue;
+      const start: Command = {
+        op: 'start',
+        uid: p.job.spec.uid,
+        index: p.index,
+        attempt: p.attempt,
+      };
+      if (mayStart && this.#startable(p, m)) {
+        p.sentCounter = report.counter;
+        out.push(start);
+      } else if (mayStart && p.direct && p.stop !== null) {
+        // A direct start that may yet arrive must find its attempt known and ended.
+        out.push(start, { ...this.#stopCommand(p, now), graceS: 0 } as Command);
+      }
+    }
+    return out;
+  }
+
+  #startable(p: Placement, m: MachineState): boolean {
+    return !p.job.over && p.stop === null && !m.returning && !m.leaving && m.noticeAt === null;
+  }
+
+  /** Starts and stops that should not wait for the next report, by machine. */
+  direct(now: number): { machine: MachineState; commands: Command[]; starts: Placement[] }[] {
+    const out: { machine: MachineState; commands: Command[]; starts: Placement[] }[] = [];
+    for (const m of this.books.machines.values()) {
+      if (m.address === null || !this.books.isFresh(m, now)) continue;
+      const commands: Command[] = [];
+      const starts: Placement[] = [];
+      for (const p of m.tasks.values()) {
+        if (p.stop !== null && !p.stop.sentDirect) {
+          p.stop.sentDirect = true;
+          commands.push(this.#stopCommand(p, now));
+        } else if (neverSent(p) && this.#startable(p, m)) {
+          p.direct = true;
+          starts.push(p);
+          m.doubtful.add(attemptKey(p));
+          const { index, attempt } = p;
+          commands.push({ op: 'start', uid: p.job.spec.uid, index, attempt });
+        }
+      }
+      if (commands.length > 0) out.push({ machine: m, commands, starts });
+    }
+    return out;
+  }
+
+  /** The outcome of direct starts is known: they were carried out, or never will be. */
+  settled(starts: readonly Placement[], executed: boolean): void {
+    for (const p of starts) {
+      p.machine.doubtful.delete(attemptKey(p));
+      if (!executed) p.direct = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/core/reports.ts
@@ -0,0 +1,160 @@
+import { AVOID_MS, FULL_PAUSE_MS, JOB_PAUSE_S, SICK_JOBS } from '../constants.js';
+import {
+  neverSent,
+  taskKey,
+  type Books,
+  type JobState,
+  type MachineState,
+  type Placement,
+} from './books.js';
+import type { JobSpec, Report, ReportedTask } from './model.js';
+
+/** What workers report, taken into the books. */
+export class Reports {
+  constructor(private readonly books: Books) {}
+
+  observe(m: MachineState, report: Report, now: number, direct = false): void {
+    if (report.session > m.session && m.session > 0) {
+      // The worker's lease ran out: it killed everything it had.
+      for (const p of [...m.tasks.values()]) this.books.release(p, now);
+      m.doubtful.clear();
+    }
+    m.session = report.session;
+    m.counter = report.counter;
+    m.address = report.address;
+    m.lastBeatAt = now;
+    if (report.noticeS !== null) m.noticeAt ??= now + report.noticeS * 1000;
+    else m.noticeAt = null;
+    const complete = report.token === this.books.term;
+    if (complete) {
+      // Whoever renewed this worker's lease under a lower term did so before it saw our token.
+      if (!m.known) m.answeredAt = Math.max(m.answeredAt, now);
+      m.known = true;
+      m.everKnown = true;
+      m.firstKnownAt ??= now;
+    }
+    const listed = new Set<string>();
+    m.foreign = 0;
+    for (const t of report.tasks) {
+      listed.add(`${t.uid}/${t.index}@${t.attempt}`);
+      this.#observeTask(m, t, now, complete);
+    }
+    if (!complete) return;
+    for (const p of [...m.tasks.values()]) {
+      if (listed.has(`${p.job.spec.uid}/${p.index}@${p.attempt}`)) continue;
+      if (p.seen) this.books.release(p, now);
+      else if (!direct && p.sentCounter !== null && report.counter > p.sentCounter) {
+        // One report is in flight at a time: this one left after the answer with the start was
+        // taken or given up, and the task is not here. The start is lost and may be given again.
+        p.sentCounter = null;
+        if (!p.direct && (p.stop !== null || p.job.over)) this.books.release(p, now);
+      }
+    }
+    if (m.noticeAt !== null) this.#saveBeforeNotice(m, now);
+  }
+
+  #observeTask(m: MachineState, t: ReportedTask, now: number, complete: boolean): void {
+    const key = taskKey(t.uid, t.index);
+    const job = this.books.jobs.get(t.uid);
+    let p = m.tasks.get(key);
+    if (p !== undefined && p.attempt !== t.attempt) p = undefined;
+    if (t.state === 'exited') {
+      this.#observeExit(m, job, p, t, now);
+      return;
+    }
+    if (p === undefined) {
+      const adoptable =
+        complete &&
+        job !== undefined &&
+        !job.over &&
+        job.own.has(t.index) &&
+        !job.placed.has(t.index) &&
+        !job.saved.has(t.index) &&
+        !job.unsaved.has(t.index) &&
+        !m.tasks.has(key);
+      if (!adoptable) {
+        m.foreign += 1;
+        return;
+      }
+      p = this.books.place(job, t.index, t.attempt, m, now, 'adopted');
+      p.seen = true;
+    }
+    p.seen = true;
+    const before = p.state;
+    p.state = t.state;
+    if (t.state === 'running' && before !== 'running') {
+      p.runningSince ??= now;
+      this.books.note('running', p, now);
+      this.#noteImage(m, p.job.spec);
+    } else if (t.state === 'waiting') this.#noteImage(m, p.job.spec);
+  }
+
+  #noteImage(m: MachineState, spec: JobSpec): void {
+    m.images.delete(spec.image);
+    m.images.set(spec.image, spec.imageGb);
+    let total = 0;
+    for (const gb of m.images.values()) total += gb;
+    for (const [image, gb] of m.images) {
+      if (m.type === null || total <= m.type.cacheGb) break;
+      m.images.delete(image);
+      total -= gb;
+    }
+  }
+
+  #observeExit(
+    m: MachineState,
+    job: JobState | undefined,
+    p: Placement | undefined,
+    t: ReportedTask,
+    now: number,
+  ): void {
+    if (t.why === 'done' && job !== undefined && !job.over && job.own.has(t.index)) {
+      const indexes = job.spec.kind === 'gang' ? job.own : [t.index];
+      for (const i of indexes) if (!job.saved.has(i)) job.unsaved.add(i);
+      // A placed task is not in the queue, and looking through a queue of 100,000 for it is dear.
+      if (p === undefined || job.spec.kind === 'gang') {
+        job.waiting = job.waiting.filter((i) => !job.unsaved.has(i));
+      }
+      m.failedJobs.clear();
+      job.failures = 0;
+      if (p !== undefined && p.runningSince !== null) {
+        const runS = (now - p.runningSince) / 1000;
+        this.books.finishedRuns.push({ jobClass: job.spec.jobClass, runS });
+      }
+    }
+    if (p === undefined) return;
+    if (t.why === 'error' && job !== undefined) this.#failed(m, job, now);
+    if (t.why === 'no_room') m.fullUntil = now + FULL_PAUSE_MS;
+    if (t.why === 'unknown' && job !== undefined) this.#pause(job, now);
+    this.books.release(p, now, t.saved ? 'saved' : (t.why ?? 'gone'));
+  }
+
+  /**
+   * A faulty machine fails tasks of every job, a faulty job fails on every machine. So failures of
+   * different jobs condemn the machine, and a failing job tries other machines, ever more slowly.
+   */
+  #failed(m: MachineState, job: JobState, now: number): void {
+    m.failedJobs.add(job.spec.uid);
+    if (m.failedJobs.size >= SICK_JOBS) m.condemned = true;
+    // A dozen tasks of an array failing together on one machine are one failure of the job.
+    const again = (job.avoid.get(m.record.name) ?? -Infinity) > now;
+    job.avoid.set(m.record.name, now + AVOID_MS);
+    if (again) return;
+    job.failures += 1;
+    if (job.failures > 1) this.#pause(job, now);
+  }
+
+  #pause(job: JobState, now: number): void {
+    const doublings = Math.max(0, job.failures - 2);
+    const seconds = Math.min(JOB_PAUSE_S.most, JOB_PAUSE_S.first * 2 ** doublings);
+    job.pausedUntil = now + seconds * 1000;
+  }
+
+  #saveBeforeNotice(m: MachineState, now: number): void {
+    for (const p of m.tasks.values()) {
+      if (p.stop === null && p.job.spec.checkpointS > 0)
+        this.books.requestStop(p, p.job.spec.saveS + 1, now);
+      if (neverSent(p)) this.books.release(p, now);
+    }
+  }
+}
