--- /dev/null
+++ b/src/completions.ts
@@ -0,0 +1,165 @@
+import type { Logger } from 'pino';
+import type { PlatformConfig } from './config/platform.js';
+import { BATCH_BYTES, PROGRESS_MS, SAVE_MS, SLOT_FILL } from './constants.js';
+import type { JobState } from './core/books.js';
+import { allDone, encodeDone } from './core/jobs.js';
+import type { JobRecord, TaskRange } from './core/model.js';
+import type { Owned } from './keeper.js';
+import { CALL, StateTrouble, type StateClient } from './state/client.js';
+import { encodeDoneSlot, key, type DoneSlot } from './state/keys.js';
+import type { Mirror } from './state/mirror.js';
+import type { Condition, Write } from './wire/schemas.js';
+
+interface Batch {
+  readonly when: Condition[];
+  readonly writes: Write[];
+  readonly saved: { uid: string; indexes: number[] }[];
+  readonly finished: string[];
+}
+
+/** Names of a range within a slot. */
+const rangeKey = (uid: string, from: number): string => `${uid}/${from}`;
+
+/**
+ * Saves completions of the parts that this node owns: ended jobs move to their final state, and
+ * completed tasks of the others go into bitmaps, many ranges in one value, so that a part costs
+ * about one write in a while, however many arrays it runs.
+ */
+export class Completions {
+  constructor(
+    private readonly config: PlatformConfig,
+    private readonly client: Pick<StateClient, 'transact'>,
+    private readonly mirror: Mirror,
+    private readonly now: () => number,
+    private readonly log: Logger,
+  ) {}
+
+  async save(index: number, owned: Owned, now: number): Promise<void> {
+    if (owned.saving || now - owned.lastSave < SAVE_MS) return;
+    const batch = this.#collect(index, owned, now);
+    if (batch.writes.length === 0) return;
+    owned.saving = true;
+    try {
+      const when = [{ key: key.part(index), stamp: owned.stamp }, ...batch.when];
+      const result = await this.client.transact(CALL.completion, when, batch.writes);
+      if (result.ok) {
+        for (const { uid, indexes } of batch.saved) owned.part.saved(uid, indexes);
+        for (const uid of batch.finished) this.log.info({ job: uid, part: index }, 'job done');
+        this.mirror.applyOwn(batch.writes, result.epoch);
+      }
+      // On a conflict the mirror is behind, and will show what has changed.
+    } catch (error) {
+      if (!(error instanceof StateTrouble)) throw error;
+      this.log.debug({ part: index, error: error.message }, 'completions not saved');
+    } finally {
+      owned.saving = false;
+      owned.lastSave = this.now();
+    }
+  }
+
+  #collect(index: number, owned: Owned, now: number): Batch {
+    const batch: Batch = { when: [], writes: [], saved: [], finished: [] };
+    const progress: { job: JobState; active: JobRecord; range: TaskRange; whole: boolean }[] = [];
+    let bytes = 0;
+    for (const job of owned.part.jobs.values()) {
+      const open = job.waiting.length + job.placed.size + job.passing.length > 0;
+      if (job.over || (job.unsaved.size === 0 && open)) continue;
+      const { uid, tasks } = job.spec;
+      const active = this.mirror.tables['active/'].get(uid);
+      if (active === undefined) continue;
+      const mine = active.value.ranges.filter((r) => r.part === index);
+      const bits = open ? null : this.#bits(job, mine);
+      const complete =
+        bits !== null &&
+        allDone(active.value, (r) => bits.get(r.from) ?? this.mirror.done(r.part, uid, r.from));
+      if (!complete) {
+        for (const range of mine) {
+          const fresh = [...job.unsaved].some((i) => i >= range.from && i < range.to);
+          if (fresh) progress.push({ job, active: active.value, range, whole: !open });
+        }
+        continue;
+      }
+      const add: Write[] = [
+        { drop: key.active(uid) },
+        { put: key.final(uid), value: { status: 'done', tasks, done: tasks } },
+      ];
+      const size = JSON.stringify(add).length;
+      const over = batch.writes.length + add.length > this.config.stateLimits.transactionOps;
+      if (batch.writes.length > 0 && (over || bytes + size > BATCH_BYTES)) continue;
+      bytes += size;
+      batch.writes.push(...add);
+      batch.when.push({ key: key.active(uid), stamp: active.stamp });
+      batch.finished.push(uid);
+      batch.saved.push({ uid, indexes: [...job.unsaved] });
+    }
+    // Somebody waits for the end of a range, if it is the last one of its job.
+    const due = now - owned.lastProgress >= PROGRESS_MS || progress.some((p) => p.whole);
+    if (due && progress.length > 0) {
+      this.#addProgress(index, progress, batch, bytes);
+      owned.lastProgress = now;
+    }
+    return batch;
+  }
+
+  #bits(job: JobState, ranges: readonly TaskRange[]): Map<number, string> {
+    const done = new Set([...job.saved, ...job.unsaved]);
+    return new Map(ranges.map((r) => [r.from, encodeDone(r, done)]));
+  }
+
+  #addProgress(
+    index: number,
+    progress: readonly { job: JobState; active: JobRecord; range: TaskRange }[],
+    batch: Batch,
+    bytes: number,
+  ): void {
+    const most = this.config.stateLimits.transactionOps;
+    const slots = this.#slots(index);
+    const changed = new Set<number>();
+    for (const { job, range } of progress) {
+      const name = rangeKey(job.spec.uid, range.from);
+      const bits = this.#bits(job, [range]).get(range.from)!;
+      const slot = this.#slotFor(slots, name, bits);
+      if (!changed.has(slot)) {
+        const size = JSON.stringify(encodeDoneSlot(slots.get(slot)!)).length + bits.length;
+        if (batch.writes.length + changed.size >= most || bytes + size > BATCH_BYTES) continue;
+        bytes += size;
+        changed.add(slot);
+      }
+      slots.get(slot)!.set(name, bits);
+      const indexes = [...job.unsaved].filter((i) => i >= range.from && i < range.to);
+      batch.saved.push({ uid: job.spec.uid, indexes });
+    }
+    for (const slot of changed) {
+      const value = encodeDoneSlot(slots.get(slot)!);
+      batch.writes.push({ put: key.done(index, slot), value });
+    }
+  }
+
+  /** The part's slots without what belongs to ended jobs. */
+  #slots(index: number): Map<number, Map<string, string>> {
+    const out = new Map<number, Map<string, string>>();
+    for (const [id, { value }] of this.mirror.tables['done/']) {
+      if (!id.startsWith(`${index}/`)) continue;
+      const live = [...value].filter(([name]) => {
+        const job = this.mirror.tables['active/'].get(name.slice(0, name.lastIndexOf('/')));
+        const from = Number(name.slice(name.lastIndexOf('/') + 1));
+        return job?.value.ranges.some((r) => r.part === index && r.from === from) ?? false;
+      });
+      out.set(Number(id.slice(id.indexOf('/') + 1)), new Map(live));
+    }
+    return out;
+  }
+
+  /** The slot that holds the range already, else the first one with room, else a new one. */
+  #slotFor(slots: Map<number, Map<string, string>>, name: string, bits: string): number {
+    for (const [n, slot] of slots) if (slot.has(name)) return n;
+    const room = this.config.stateLimits.valueBytes * SLOT_FILL - bits.length;
+    const sizeOf = (slot: DoneSlot) => JSON.stringify(encodeDoneSlot(slot)).length;
+    let n = 0;
+    for (; slots.has(n); n++) {
+      if (sizeOf(slots.get(n)!) <= room) return n;
+    }
+    slots.set(n, new Map());
+    return n;
+  }
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -18,8 +18,10 @@
 export const USER_CALL_MS = 1500;
 /** requests; more than these waiting on the state service are refused at once, never queued. */
 export const USER_WAITING_LIMIT = 200;
+/** ms; a submission whose write would wait longer than this is refused at once. */
+export const SUBMIT_WAIT_MS = 900;
 /** s; what a refused user is told to wait: long enough that a wave of retries spreads out. */
-export const RETRY_AFTER_S = { least: 1, spread: 3 } as const;
+export const RETRY_AFTER_S = { least: 1, most: 15, spread: 3 } as const;
 /** final states kept in memory; at about 100 bytes each this stays below 3 MB. */
 export const FINALS_IN_MEMORY = 20_000;
 
@@ -32,10 +34,22 @@
 export const LOOP_MS = 250;
 /** ms; completions collect this long so that those of one job share a write; users allow 3 s. */
 export const SAVE_MS = 200;
+/** ms; between writes of completions that end neither a job nor a range: nobody waits for them. */
+export const PROGRESS_MS = 1500;
+/** ms; between two writes of a part's machine records: those of a boot wave come close together. */
+export const MACHINES_MS = 400;
+/** share of a value's limit up to which completions of ranges are put together in it */
+export const SLOT_FILL = 0.6;
 
 // --- state service ------------------------------------------------------------------------------
 /** bytes; well under the 64 KiB of a transaction, keys and conditions included. */
 export const BATCH_BYTES = 40_000;
+/** tokens; a node with a small share may still send a transaction of this size at once. */
+export const STATE_BURST_LEAST = 4;
+/** ms; a read of the feed that takes longer is held: nothing changes. Usual answers take 10 ms. */
+export const HELD_READ_MS = 40;
+/** share of a node's requests that the feed may take; less means answers and starts come later. */
+export const FEED_SHARE = 0.3;
 /** ms; polls of the same job that come within this time share a read. */
 export const READ_GATHER_MS = 4;
 /** calls; a single one may be lost on the way without the service being out. */
@@ -164,6 +178,8 @@
 export const TYPES_MS = 60_000;
 /** ms; after "no capacity" the same type, zone and kind is not asked for again for this long. */
 export const NO_CAPACITY_MS = 15_000;
+/** names of returned machines that are kept: the cloud lists them a little longer. */
+export const RETURNED_KEPT = 10_000;
 /** machines; the protocol's limits for one request. */
 export const RENT_MOST = 50;
 export const RETURN_MOST = 100;
--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -45,7 +45,7 @@
   readonly spec: JobSpec;
   readonly rank: number;
   readonly acceptedAt: number;
-  /** first seen here, steady ms */
+  /** accepted, by the steady clock, ms */
   readonly seenAt: number;
   /** tasks of this part that are neither saved nor placed, in order of number */
   waiting: number[];
@@ -118,7 +118,8 @@
 /** What the state service says about this part. */
 export interface PartView {
   readonly jobs: ReadonlyMap<string, { readonly value: JobRecord }>;
-  readonly done: ReadonlyMap<string, { readonly value: string }>;
+  /** completed tasks of a range of this part, as saved */
+  done(uid: string, from: number): string | undefined;
   readonly machines: ReadonlyMap<string, { readonly value: MachineRecord }>;
 }
 
@@ -172,7 +173,7 @@
   // --- wanted state in ---------------------------------------------------------------------------
 
   /** Takes over what the state service says: jobs and machines come and go. */
-  sync(view: PartView, now: number): void {
+  sync(view: PartView, now: number, nowOfDay = 0): void {
     for (const { value: record } of view.machines.values()) {
       if (record.part !== this.index) continue;
       const known = this.machines.get(record.name);
@@ -183,7 +184,7 @@
       const record = view.machines.get(m.record.name)?.value;
       if (record === undefined || record.part !== this.index) this.machineGone(m.record.name, now);
     }
-    for (const { value: record } of view.jobs.values()) this.#syncJob(record, view, now);
+    for (const { value: record } of view.jobs.values()) this.#syncJob(record, view, now, nowOfDay);
     for (const job of [...this.jobs.values()]) {
       const record = view.jobs.get(job.spec.uid)?.value;
       if (record === undefined || !record.ranges.some((r) => r.part === this.index)) {
@@ -223,7 +224,7 @@
     });
   }
 
-  #syncJob(record: JobRecord, view: PartView, now: number): void {
+  #syncJob(record: JobRecord, view: PartView, now: number, nowOfDay: number): void {
     const spec = record.spec;
     let job = this.jobs.get(spec.uid);
     if (job !== undefined && job.passing.length > 0) return;
@@ -233,7 +234,8 @@
         spec,
         rank: PRIORITY_RANK[spec.priority],
         acceptedAt: record.at,
-        seenAt: now,
+        // A new owner counts a job's age on, rather than anew.
+        seenAt: now - Math.max(0, nowOfDay - record.at),
         waiting: [],
         own: new Set(),
         inherited: new Set(),
@@ -250,7 +252,7 @@
         passAfter: -Infinity,
       };
       this.jobs.set(spec.uid, job);
-      const bits = view.done.get(`${spec.uid}/${range.from}`)?.value;
+      const bits = view.done(spec.uid, range.from);
       const done = bits === undefined ? new Set<number>() : decodeDone(range, bits);
       for (let i = range.from; i < range.to; i++) {
         job.own.add(i);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,5 +1,5 @@
 import { RANGE_LEAST, RANGE_MOST } from '../constants.js';
-import type { JobRecord, JobSpec, Team } from './model.js';
+import type { JobRecord, JobSpec, TaskRange, Team } from './model.js';
 
 /** Completed tasks of a range as a bitmap in hex, four tasks a character, first task first. */
 export const encodeDone = (
@@ -89,8 +89,8 @@
 };
 
 /** True if every range is complete, by what is saved. */
-export const allDone = (job: JobRecord, saved: (from: number) => string | undefined): boolean =>
+export const allDone = (job: JobRecord, saved: (range: TaskRange) => string | undefined): boolean =>
   job.ranges.every((r) => {
-    const bits = saved(r.from);
+    const bits = saved(r);
     return bits !== undefined && decodeDone(r, bits).size === r.to - r.from;
   });
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -105,8 +105,8 @@
   get preempts(): boolean {
     return this.books.settings.preempt;
   }
-  sync(view: PartView, now: number): void {
-    this.books.sync(view, now);
+  sync(view: PartView, now: number, nowOfDay = 0): void {
+    this.books.sync(view, now, nowOfDay);
   }
   saved(uid: string, indexes: Iterable<number>): void {
     this.books.saved(uid, indexes);
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -1,30 +1,15 @@
 import type { Logger } from 'pino';
 import type { PlatformConfig } from './config/platform.js';
 import type { OperatorConfig } from './config/operator.js';
-import {
-  BATCH_BYTES,
-  CLAIM_PAUSE_MS,
-  DEAF_MS,
-  HANDBACK_MS,
-  HANDOVER_SETTLE_MS,
-  PASS_AFTER_MS,
-  RANGES_MOST,
-  SAVE_MS,
-  STATE_PAUSE_MS,
-} from './constants.js';
-import { setTimeout as sleep } from 'node:timers/promises';
-import { allDone, encodeDone, hasGuarantee, hasLimit } from './core/jobs.js';
-import type { Command, JobSpec, MachineType, Report, TaskRange } from './core/model.js';
+import { CLAIM_PAUSE_MS, DEAF_MS, HANDBACK_MS, HANDOVER_SETTLE_MS } from './constants.js';
+import { Completions } from './completions.js';
+import type { Command, JobSpec, MachineType, Report } from './core/model.js';
 import { Ownership, type OwnershipView } from './core/ownership.js';
-import {
-  Part,
-  type PartSettings,
-  type JobState,
-  type MachineState,
-  type Placement,
-} from './core/part.js';
+import { Part, type PartSettings, type MachineState, type Placement } from './core/part.js';
+import { MachineRecords } from './machines.js';
+import { Passing } from './passing.js';
 import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { decodeActive, encodeActive, encodeMachine, key, type PartRecord } from './state/keys.js';
+import { key, type PartRecord } from './state/keys.js';
 import type { NodeLease } from './state/lease.js';
 import type { Mirror } from './state/mirror.js';
 import type { Condition, Write } from './wire/schemas.js';
@@ -37,8 +22,10 @@
   suspended: boolean;
   saving: boolean;
   lastSave: number;
+  lastProgress: number;
+  /** the mirror's version that the part has taken in */
+  synced: number;
   readonly claiming: Set<string>;
-  readonly marking: Set<string>;
 }
 
 /** What other nodes tell that matters for owning parts. */
@@ -67,6 +54,9 @@
   /** workers of other nodes' parts that came here, with the time */
   readonly sighted = new Map<string, { part: number; at: number }>();
   #deafUntil = -Infinity;
+  readonly machines: MachineRecords;
+  readonly #completions: Completions;
+  readonly #passing: Passing;
 
   constructor(
     private readonly config: PlatformConfig,
@@ -79,8 +69,21 @@
     private readonly types: () => ReadonlyMap<string, MachineType> | null,
     private readonly startWithin: PartSettings['startWithin'],
     private readonly now: () => number,
+    private readonly nowOfDay: () => number,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.machines = new MachineRecords(config, client, mirror, now, log);
+    this.#completions = new Completions(config, client, mirror, now, log);
+    this.#passing = new Passing(
+      config,
+      client,
+      mirror,
+      (index, owned) => this.owned.get(index) === owned,
+      (spec, not) => this.peers.roomElsewhere(spec, not),
+      now,
+      log,
+    );
+  }
 
   /** Whether this node provably owns what the mirror shows as its own. */
   authority(now: number): boolean {
@@ -121,9 +124,9 @@
       if (!authority) continue;
       part.placeAll(now);
       this.#direct(owned, now);
-      void this.#markUp(index, owned);
-      this.#passStuck(index, owned, now);
-      void this.#save(index, owned, now);
+      void this.machines.tick(index, owned, now);
+      this.#passing.passStuck(index, owned, now);
+      void this.#completions.save(index, owned, now);
     }
   }
 
@@ -168,20 +171,23 @@
           suspended: false,
           saving: false,
           lastSave: now,
+          lastProgress: now,
+          synced: -1,
           claiming: new Set(),
-          marking: new Set(),
         });
         this.log.info({ part: index, term: part.term }, 'part owned');
       }
-      const { part, suspended } = this.owned.get(index)!;
-      if (suspended) continue;
-      part.sync(
+      const present = this.owned.get(index)!;
+      if (present.suspended || present.synced === this.mirror.version) continue;
+      present.synced = this.mirror.version;
+      present.part.sync(
         {
           jobs: this.mirror.tables['active/'],
-          done: this.mirror.tables['done/'],
-          machines: this.mirror.tables['machines/'],
+          done: (uid, from) => this.mirror.done(index, uid, from),
+          machines: this.mirror.machines,
         },
         now,
+        this.nowOfDay(),
       );
     }
   }
@@ -299,7 +305,7 @@
   beat(report: Report): BeatReply {
     const now = this.now();
     if (!this.mirror.ready) return { kind: 'unavailable' };
-    const record = this.mirror.tables['machines/'].get(report.machine)?.value;
+    const record = this.mirror.machines.get(report.machine)?.value;
     if (record === undefined) return { kind: 'unavailable' };
     const owned = this.owned.get(record.part);
     if (owned === undefined || owned.suspended) return this.#sendOn(report, record.part, now);
@@ -372,198 +378,4 @@
       m.session = Math.max(m.session, sent.report.session);
     }
   }
-
-  /** Before anything starts on a machine its record says that it is up, for a later owner. */
-  async #markUp(index: number, owned: Owned): Promise<void> {
-    const most = this.config.stateLimits.transactionOps;
-    const machines = owned.part
-      .justUp()
-      .filter((m) => !owned.marking.has(m.record.name))
-      .slice(0, most);
-    if (machines.length === 0) return;
-    for (const m of machines) owned.marking.add(m.record.name);
-    try {
-      const writes = machines.map((m) => ({
-        put: key.machine(m.record.name),
-        value: encodeMachine({ ...m.record, up: true }),
-      }));
-      const when = [this.condition(index, owned)];
-      const result = await this.client.transact(CALL.completion, when, writes);
-      if (result.ok) {
-        this.mirror.applyOwn(writes, result.epoch);
-        for (const m of machines) this.log.info({ machine: m.record.name, part: index }, 'up');
-      }
-    } catch (error) {
-      if (!(error instanceof StateTrouble)) throw error;
-      this.log.debug({ part: index, error: error.message }, 'machine not marked as up');
-    } finally {
-      for (const m of machines) owned.marking.delete(m.record.name);
-    }
-  }
-
-  // --- passing -----------------------------------------------------------------------------------
-
-  /** A task that fits nowhere in its part passes, by transaction, to a part where it fits. */
-  #passStuck(index: number, owned: Owned, now: number): void {
-    for (const job of owned.part.jobs.values()) {
-      if (job.stuckSince === null || now - job.stuckSince < PASS_AFTER_MS) continue;
-      if (now < job.passAfter || job.passing.length > 0) continue;
-      const team = this.config.teams.get(job.spec.team);
-      if (hasLimit(team) || hasGuarantee(team)) continue;
-      const active = this.mirror.tables['active/'].get(job.spec.uid);
-      if (active === undefined || active.value.ranges.length >= RANGES_MOST) continue;
-      const can = owned.part.passable(job, active.value);
-      const to = can === null ? null : this.peers.roomElsewhere(job.spec, index);
-      const era = to === null ? null : this.termOf(to.part);
-      if (can === null || to === null || era === null) continue;
-      const { range } = can;
-      const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
-      const count = Math.min(range.to - can.from, to.tasks);
-      if (whole && count < range.to - range.from) continue;
-      void this.#pass(index, owned, job, range, range.to - count, { part: to.part, era });
-      // The room that another node spoke of is there once.
-      return;
-    }
-  }
-
-  async #pass(
-    index: number,
-    owned: Owned,
-    job: JobState,
-    range: TaskRange,
-    from: number,
-    to: { part: number; era: number },
-  ): Promise<void> {
-    const { uid } = job.spec;
-    const active = this.mirror.tables['active/'].get(uid)!;
-    const ranges = active.value.ranges.flatMap((r) => {
-      if (r.from !== range.from) return [r];
-      const moved = { from, to: r.to, ...to };
-      return from > r.from ? [{ ...r, to: from }, moved] : [moved];
-    });
-    const writes: Write[] = [
-      { put: key.active(uid), value: encodeActive({ ...active.value, ranges }) },
-    ];
-    // A part of the range may be saved under the old cut; the bitmap's end is simply cut off.
-    const when = [this.condition(index, owned), { key: key.active(uid), stamp: active.stamp }];
-    owned.part.beginPass(job, from, range.to);
-    for (;;) {
-      try {
-        const result = await this.client.transact(CALL.completion, when, writes);
-        if (result.ok) {
-          this.mirror.applyOwn(writes, result.epoch);
-          owned.part.endPass(job, true, this.now());
-          this.log.info({ job: uid, part: index, to: to.part, tasks: range.to - from }, 'passed');
-          return;
-        }
-        // A conflict after a lost answer may be our own success: only the present record tells. The
-        // mirror must show it too, or the old one would bring the tasks back as fresh.
-        const found = await this.client.get(key.active(uid), CALL.completion);
-        let passed = false;
-        if (!('missing' in found)) {
-          this.mirror.applyOwn([{ put: key.active(uid), value: found.value }], found.stamp);
-          const { ranges: present } = decodeActive(uid, found.value);
-          passed = !present.some((r) => r.part === index && r.from <= from && r.to > from);
-        }
-        owned.part.endPass(job, passed, this.now());
-        return;
-      } catch (error) {
-        if (!(error instanceof StateTrouble)) throw error;
-        if (this.owned.get(index) !== owned) return;
-        await sleep(STATE_PAUSE_MS);
-      }
-    }
-  }
-
-  // --- completions -------------------------------------------------------------------------------
-
-  async #save(index: number, owned: Owned, now: number): Promise<void> {
-    if (owned.saving || now - owned.lastSave < SAVE_MS) return;
-    const batch = this.#collect(index, owned);
-    if (batch.writes.length === 0) return;
-    owned.saving = true;
-    try {
-      const when = [this.condition(index, owned), ...batch.when];
-      const result = await this.client.transact(CALL.completion, when, batch.writes);
-      if (result.ok) {
-        for (const { uid, indexes } of batch.saved) owned.part.saved(uid, indexes);
-        for (const uid of batch.finished) this.log.info({ job: uid, part: index }, 'job done');
-        this.mirror.applyOwn(batch.writes, result.epoch);
-      }
-      // On a conflict the mirror is behind, and will show what has changed.
-    } catch (error) {
-      if (!(error instanceof StateTrouble)) throw error;
-      this.log.debug({ part: index, error: error.message }, 'completions not saved');
-    } finally {
-      owned.saving = false;
-      owned.lastSave = this.now();
-    }
-  }
-
-  /** As many completions as fit into one transaction, those of a job together. */
-  #collect(index: number, owned: Owned) {
-    const most = this.config.stateLimits.transactionOps;
-    const when: Condition[] = [];
-    const writes: Write[] = [];
-    const saved: { uid: string; indexes: number[] }[] = [];
-    const finished: string[] = [];
-    let bytes = 0;
-    for (const job of owned.part.jobs.values()) {
-      if (job.over || (job.unsaved.size === 0 && job.waiting.length + job.placed.size > 0))
-        continue;
-      const { uid } = job.spec;
-      const active = this.mirror.tables['active/'].get(uid);
-      if (active === undefined) continue;
-      const mine = this.#doneWrites(index, job);
-      const bits = new Map(mine.map((w) => [w.from, w.value]));
-      const complete = allDone(
-        active.value,
-        (from) => bits.get(from) ?? this.mirror.tables['done/'].get(`${uid}/${from}`)?.value,
-      );
-      let add: Write[];
-      if (complete) {
-        const { tasks } = job.spec;
-        add = [
-          { drop: key.active(uid) },
-          { put: key.final(uid), value: { status: 'done', tasks, done: tasks } },
-        ];
-        for (const r of active.value.ranges) {
-          const stored = this.mirror.tables['done/'].has(`${uid}/${r.from}`);
-          if (stored && add.length < most) add.push({ drop: key.done(uid, r.from) });
-        }
-      } else {
-        add = mine
-          .filter((w) => w.changed)
-          .slice(0, most)
-          .map((w) => ({ put: key.done(uid, w.from), value: w.value }));
-      }
-      const size = JSON.stringify(add).length;
-      if (add.length === 0) continue;
-      if (writes.length > 0 && (writes.length + add.length > most || bytes + size > BATCH_BYTES)) {
-        continue;
-      }
-      bytes += size;
-      writes.push(...add);
-      when.push({ key: key.active(uid), stamp: active.stamp });
-      if (complete) finished.push(uid);
-      const put = new Set(add.flatMap((w) => ('put' in w ? [w.put] : [])));
-      const covered = (i: number) =>
-        complete || mine.some((w) => i >= w.from && i < w.to && put.has(key.done(uid, w.from)));
-      saved.push({ uid, indexes: [...job.unsaved].filter(covered) });
-    }
-    return { when, writes, saved, finished };
-  }
-
-  #doneWrites(index: number, job: JobState) {
-    const active = this.mirror.tables['active/'].get(job.spec.uid)!;
-    const done = new Set([...job.saved, ...job.unsaved]);
-    return active.value.ranges
-      .filter((r) => r.part === index)
-      .map((r) => ({
-        from: r.from,
-        to: r.to,
-        value: encodeDone(r, done),
-        changed: [...job.unsaved].some((i) => i >= r.from && i < r.to),
-      }));
-  }
 }
--- /dev/null
+++ b/src/machines.ts
@@ -0,0 +1,159 @@
+import type { Logger } from 'pino';
+import type { PlatformConfig } from './config/platform.js';
+import { MACHINES_MS, RETURNED_KEPT } from './constants.js';
+import type { MachineState } from './core/books.js';
+import type { Owned } from './keeper.js';
+import { CALL, StateTrouble, type StateClient } from './state/client.js';
+import { encodeGroup, key, type HireRecord, type MachineGroup } from './state/keys.js';
+import type { Mirror } from './state/mirror.js';
+import type { Condition, Write } from './wire/schemas.js';
+
+/**
+ * The machine records of the parts that this node owns. They are kept by group, one group a rental,
+ * so that a wave of boots or returns costs a few writes instead of one a machine. All changes of a
+ * part's groups go through here, one transaction at a time, so that none undoes another.
+ */
+export class MachineRecords {
+  readonly #busy = new Set<number>();
+  readonly #last = new Map<number, number>();
+  /** returned, with an answer, the latest last: late lists and reports must not bring them back */
+  readonly #returned = new Set<string>();
+  /** of these, the ones whose records still have to go */
+  readonly #toDrop = new Set<string>();
+
+  constructor(
+    private readonly config: PlatformConfig,
+    private readonly client: Pick<StateClient, 'transact'>,
+    private readonly mirror: Mirror,
+    private readonly now: () => number,
+    private readonly log: Logger,
+  ) {}
+
+  /** The cloud has answered that these are gone. */
+  returned(names: readonly string[]): void {
+    for (const n of names) {
+      this.#returned.add(n);
+      this.#toDrop.add(n);
+    }
+    for (const n of this.#returned) {
+      if (this.#returned.size <= RETURNED_KEPT) break;
+      this.#returned.delete(n);
+    }
+  }
+
+  isReturned(name: string): boolean {
+    return this.#returned.has(name);
+  }
+
+  /** Writes what differs: machines that are up and not recorded so, records of returned ones. */
+  async tick(index: number, owned: Owned, now: number): Promise<void> {
+    if (this.#busy.has(index) || now - (this.#last.get(index) ?? -Infinity) < MACHINES_MS) return;
+    const up = owned.part.justUp();
+    const changed = this.#changes(index, up);
+    if (changed.size === 0) return;
+    const writes: Write[] = [];
+    const when: Condition[] = [{ key: key.part(index), stamp: owned.stamp }];
+    for (const [id, { stamp, group }] of changed) {
+      when.push({ key: key.machines(id), stamp });
+      if (group.hosts.size === 0) writes.push({ drop: key.machines(id) });
+      else writes.push({ put: key.machines(id), value: encodeGroup(group) });
+    }
+    const done = await this.#write(index, up.length > 0, when, writes);
+    if (!done) return;
+    const written = new Set([...changed.values()].flatMap(({ group }) => [...group.hosts.keys()]));
+    for (const m of up) {
+      if (written.has(m.record.name)) {
+        this.log.info({ machine: m.record.name, part: index }, 'up');
+      }
+    }
+  }
+
+  #changes(
+    index: number,
+    up: readonly MachineState[],
+  ): Map<string, { stamp: number; group: MachineGroup }> {
+    const most = this.config.stateLimits.transactionOps;
+    const changed = new Map<
+      string,
+      { stamp: number; hosts: Map<string, boolean>; group: MachineGroup }
+    >();
+    const edit = (name: string): Map<string, boolean> | null => {
+      const at = this.mirror.machines.get(name);
+      if (at?.value.part !== index) return null;
+      let entry = changed.get(at.group);
+      if (entry === undefined) {
+        const record = this.mirror.tables['machines/'].get(at.group);
+        if (record === undefined || changed.size >= most) return null;
+        const hosts = new Map(record.value.hosts);
+        entry = { stamp: record.stamp, hosts, group: { ...record.value, hosts } };
+        changed.set(at.group, entry);
+      }
+      return entry.hosts;
+    };
+    for (const m of up) edit(m.record.name)?.set(m.record.name, true);
+    for (const name of this.#toDrop) {
+      if (!this.mirror.machines.has(name)) this.#toDrop.delete(name);
+      else edit(name)?.delete(name);
+    }
+    return changed;
+  }
+
+  async #write(
+    index: number,
+    urgent: boolean,
+    when: readonly Condition[],
+    writes: readonly Write[],
+  ): Promise<boolean> {
+    this.#busy.add(index);
+    try {
+      const cls = urgent ? CALL.completion : CALL.rest;
+      const result = await this.client.transact(cls, when, writes);
+      if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+      return result.ok;
+    } catch (error) {
+      if (!(error instanceof StateTrouble)) throw error;
+      this.log.debug({ part: index, error: error.message }, 'machine records not written');
+      return false;
+    } finally {
+      this.#busy.delete(index);
+      this.#last.set(index, this.now());
+    }
+  }
+
+  /** Records the machines of an answered hire and drops the hire, in one transaction. */
+  async hired(owned: Owned, hire: HireRecord, names: readonly string[]): Promise<void> {
+    const { part, type, zone, spot } = hire;
+    const fresh = names.filter((n) => !this.mirror.machines.has(n));
+    const hosts = new Map(fresh.map((n) => [n, false]));
+    const group: MachineGroup = { part, era: owned.part.term, type, zone, spot, hosts };
+    const writes: Write[] = [{ drop: key.hire(part, hire.name) }];
+    const when: Condition[] = [{ key: key.part(part), stamp: owned.stamp }];
+    if (hosts.size > 0) {
+      writes.push({ put: key.machines(hire.name), value: encodeGroup(group) });
+      when.push({ key: key.machines(hire.name), stamp: 0 });
+      when.push({ key: key.hire(part, hire.name), stamp: this.#hireStamp(part, hire.name) });
+    }
+    const result = await this.client.transact(CALL.completion, when, writes);
+    if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+  }
+
+  #hireStamp(part: number, name: string): number {
+    return this.mirror.tables['hires/'].get(`${part}/${name}`)?.stamp ?? 0;
+  }
+
+  /** Takes a machine that is in no record into a group of its own. */
+  async adopt(owned: Owned, machine: Omit<MachineGroup, 'era' | 'hosts'>, name: string) {
+    const hosts = new Map([[name, false]]);
+    const group: MachineGroup = { ...machine, era: owned.part.term, hosts };
+    const id = `found-${name}`;
+    const writes: Write[] = [{ put: key.machines(id), value: encodeGroup(group) }];
+    const when = [
+      { key: key.part(machine.part), stamp: owned.stamp },
+      { key: key.machines(id), stamp: 0 },
+    ];
+    const result = await this.client.transact(CALL.rest, when, writes);
+    if (!result.ok) return;
+    this.mirror.applyOwn(writes, result.epoch);
+    this.log.info({ machine: name, part: machine.part }, 'machine adopted');
+  }
+}
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -14,21 +14,23 @@
 import { planCapacity } from './core/capacity.js';
 import { partOfMachine } from './core/jobs.js';
 import type { Learning } from './core/learning.js';
-import type { MachineRecord, MachineType, Report } from './core/model.js';
+import type { MachineType, Report } from './core/model.js';
 import type { Keeper, Owned } from './keeper.js';
 import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { encodeMachine, key, type HireRecord } from './state/keys.js';
+import { key, type HireRecord } from './state/keys.js';
 import type { Mirror } from './state/mirror.js';
-import type { Condition, ListedMachine, Write } from './wire/schemas.js';
+import type { ListedMachine, Write } from './wire/schemas.js';
+
+type Wish = { type: string; zone: string; spot: boolean; count: number };
 
 /** Rents and returns machines for the parts that this node owns. */
 export class Rentals {
   #sequence = 0;
   readonly #refused = new Map<string, number>();
   readonly #renting = new Set<string>();
+  /** parts whose new hires are being recorded */
+  readonly #planning = new Set<number>();
   readonly #returning = new Set<string>();
-  /** returned, with an answer; their records go */
-  readonly #toDrop = new Set<string>();
   readonly #unrecorded = new Map<string, number>();
   readonly #adopting = new Set<string>();
   readonly addresses = new Map<string, string>();
@@ -61,7 +63,6 @@
         m.address ??= this.addresses.get(m.record.name) ?? null;
       }
       this.#hires(index, owned);
-      void this.#dropRecords(index, owned);
     }
     if (now - this.#lastList > LIST_MS && this.keeper.owned.size > 0) void this.#list();
     if (now - this.#lastPlan < RENT_MS) return;
@@ -75,7 +76,7 @@
     const pending = [...this.mirror.tables['hires/'].values()]
       .map((h) => h.value)
       .filter((h) => h.part === index);
-    if ([...this.#renting].some((id) => id.startsWith(`new ${index} `))) return;
+    if (this.#planning.has(index)) return;
     const plan = planCapacity({
       part: owned.part,
       parts: this.config.nodes,
@@ -95,13 +96,13 @@
       const { wanted, rent, giveBack } = plan;
       this.log.debug({ part: index, wanted, rent, giveBack }, 'capacity');
     }
-    // One transaction records all machines of a hire, so a hire is no larger than that.
-    const most = Math.min(RENT_MOST, this.config.stateLimits.transactionOps - 1);
+    const wishes: Wish[] = [];
     for (const wish of plan.rent) {
-      for (let left = wish.count; left > 0; left -= most) {
-        void this.#newHire(index, owned, { ...wish, count: Math.min(left, most) });
+      for (let left = wish.count; left > 0; left -= RENT_MOST) {
+        wishes.push({ ...wish, count: Math.min(left, RENT_MOST) });
       }
     }
+    if (wishes.length > 0) void this.#newHires(index, owned, wishes);
     const names = plan.giveBack.filter((g) => !this.#returning.has(g.name));
     for (const g of names) {
       const m = owned.part.machines.get(g.name);
@@ -127,23 +128,21 @@
 
   // --- renting -----------------------------------------------------------------------------------
 
-  /** The name is written before the call, so that whoever owns the part can ask again. */
-  async #newHire(
-    part: number,
-    owned: Owned,
-    wish: { type: string; zone: string; spot: boolean; count: number },
-  ): Promise<void> {
-    this.#sequence += 1;
-    const name = `${this.config.node}-${this.incarnation}-${this.#sequence}`;
-    const id = `new ${part} ${name}`;
-    this.#renting.add(id);
-    await this.#guard('hire not recorded', async () => {
-      const writes: Write[] = [{ put: key.hire(part, name), value: wish }];
+  /** The names are written before the calls, so that whoever owns the part can ask again. */
+  async #newHires(part: number, owned: Owned, wishes: readonly Wish[]): Promise<void> {
+    this.#planning.add(part);
+    const some = wishes.slice(0, this.config.stateLimits.transactionOps);
+    await this.#guard('hires not recorded', async () => {
+      const writes = some.map((wish): Write => {
+        this.#sequence += 1;
+        const name = `${this.config.node}-${this.incarnation}-${this.#sequence}`;
+        return { put: key.hire(part, name), value: wish };
+      });
       const when = [this.keeper.condition(part, owned)];
-      const result = await this.client.transact(CALL.rest, when, writes);
+      const result = await this.client.transact(CALL.completion, when, writes);
       if (result.ok) this.mirror.applyOwn(writes, result.epoch);
     });
-    this.#renting.delete(id);
+    this.#planning.delete(part);
     this.#hires(part, owned);
   }
 
@@ -167,7 +166,7 @@
       if (result.kind === 'malformed')
         this.log.error({ ...where, answer: result.answer }, 'rental');
       else this.log.info(where, 'no capacity');
-      await this.#record(owned, hire, []);
+      await this.keeper.machines.hired(owned, hire, []);
       return;
     }
     this.log.info({ ...where, machines: result.machines.length }, 'machines rented');
@@ -175,31 +174,7 @@
       const until = this.now() + NO_CAPACITY_MS;
       this.#refused.set(`${hire.type} ${hire.zone} ${hire.spot}`, until);
     }
-    await this.#record(owned, hire, result.machines);
-  }
-
-  /** Records the machines of an answered hire and drops the hire, in one transaction. */
-  async #record(owned: Owned, hire: HireRecord, machines: readonly string[]): Promise<void> {
-    const fresh = machines.filter((n) => !this.mirror.tables['machines/'].has(n));
-    const records = fresh.map((name): MachineRecord => ({
-      name,
-      part: hire.part,
-      era: owned.part.term,
-      type: hire.type,
-      zone: hire.zone,
-      spot: hire.spot,
-      up: false,
-    }));
-    const writes: Write[] = [
-      ...records.map((r) => ({ put: key.machine(r.name), value: encodeMachine(r) })),
-      { drop: key.hire(hire.part, hire.name) },
-    ];
-    const when: Condition[] = [
-      this.keeper.condition(hire.part, owned),
-      ...records.map((r) => ({ key: key.machine(r.name), stamp: 0 })),
-    ];
-    const result = await this.client.transact(CALL.completion, when, writes);
-    if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+    await this.keeper.machines.hired(owned, hire, result.machines);
   }
 
   // --- returning ---------------------------------------------------------------------------------
@@ -211,32 +186,13 @@
       await this.#guard('return not answered', async () => {
         if (!this.keeper.authority(this.now())) return;
         await this.cloud.giveBack(some);
-        for (const n of some) {
-          owned.part.machineGone(n, this.now());
-          this.#toDrop.add(n);
-        }
+        for (const n of some) owned.part.machineGone(n, this.now());
+        this.keeper.machines.returned(some);
       });
       for (const n of some) this.#returning.delete(n);
     }
   }
 
-  async #dropRecords(index: number, owned: Owned): Promise<void> {
-    const table = this.mirror.tables['machines/'];
-    for (const n of this.#toDrop) if (!table.has(n)) this.#toDrop.delete(n);
-    const names = [...this.#toDrop]
-      .filter((n) => table.get(n)?.value.part === index && !this.#adopting.has(n))
-      .slice(0, this.config.stateLimits.transactionOps);
-    if (names.length === 0) return;
-    for (const n of names) this.#adopting.add(n);
-    await this.#guard('machine records not dropped', async () => {
-      const writes = names.map((n) => ({ drop: key.machine(n) }));
-      const when = [this.keeper.condition(index, owned)];
-      const result = await this.client.transact(CALL.rest, when, writes);
-      if (result.ok) this.mirror.applyOwn(writes, result.epoch);
-    });
-    for (const n of names) this.#adopting.delete(n);
-  }
-
   // --- machines that nobody recorded ---------------------------------------------------------------
 
   async #list(): Promise<void> {
@@ -257,7 +213,7 @@
     const settled = ADOPT_MS + this.config.cloudLimits.listLagS * 3000;
     for (const m of list) {
       if (m.address !== null) this.addresses.set(m.name, m.address);
-      const record = this.mirror.tables['machines/'].get(m.name)?.value;
+      const record = this.mirror.machines.get(m.name)?.value;
       if (record !== undefined) {
         this.#unrecorded.delete(m.name);
         const state = this.keeper.owned.get(record.part)?.part.machines.get(m.name);
@@ -277,15 +233,15 @@
     }
   }
 
-  /** A report of a machine that is in no record: a rental that was carried out late. */
+  /**
+   * A report of a machine that is in no record: a rental that was carried out late, or a late copy of
+   * the report of a machine that is gone. Only the cloud's list tells which, so it is read soon.
+   */
   sighted(report: Report): void {
     const now = this.now();
-    if (this.mirror.tables['machines/'].has(report.machine) || !this.keeper.authority(now)) return;
-    const since = this.#unrecorded.get(report.machine) ?? now;
-    this.#unrecorded.set(report.machine, since);
-    const part = [...this.keeper.owned.keys()][0];
-    if (now - since < ADOPT_MS || part === undefined) return;
-    void this.#adopt(part, report.machine, report.type, report.zone, report.spot);
+    const name = report.machine;
+    if (this.mirror.machines.has(name) || this.keeper.machines.isReturned(name)) return;
+    if (!this.#unrecorded.has(name)) this.#lastList = Math.min(this.#lastList, now - LIST_MS / 2);
   }
 
   async #adopt(
@@ -296,18 +252,12 @@
     spot: boolean,
   ): Promise<void> {
     const owned = this.keeper.owned.get(part);
-    if (owned === undefined || this.#adopting.has(name) || this.#toDrop.has(name)) return;
+    if (owned === undefined || this.#adopting.has(name)) return;
+    if (this.keeper.machines.isReturned(name)) return;
     this.#adopting.add(name);
-    await this.#guard('machine not adopted', async () => {
-      const era = owned.part.term;
-      const record: MachineRecord = { name, part, era, type, zone, spot, up: false };
-      const writes: Write[] = [{ put: key.machine(name), value: encodeMachine(record) }];
-      const when = [this.keeper.condition(part, owned), { key: key.machine(name), stamp: 0 }];
-      const result = await this.client.transact(CALL.rest, when, writes);
-      if (!result.ok) return;
-      this.mirror.applyOwn(writes, result.epoch);
-      this.log.info({ machine: name, part }, 'machine adopted');
-    });
+    await this.#guard('machine not adopted', () =>
+      this.keeper.machines.adopt(owned, { part, type, zone, spot }, name),
+    );
     this.#adopting.delete(name);
   }
 }
--- a/src/service.ts
+++ b/src/service.ts
@@ -8,6 +8,8 @@
 import type { OperatorConfig } from './config/operator.js';
 import type { PlatformConfig } from './config/platform.js';
 import {
+  FEED_SHARE,
+  FOLLOW_PAUSE_MS,
   LOOP_MS,
   READY_GRACE_MS,
   REQUEST_MS,
@@ -28,6 +30,7 @@
 import { randomFrom } from './random.js';
 import { Rentals } from './rentals.js';
 import { StateClient } from './state/client.js';
+import { Currency } from './state/currency.js';
 import { NodeLease } from './state/lease.js';
 import { feed, Mirror, type FeedBatch } from './state/mirror.js';
 import { userRoutes } from './users/api.js';
@@ -42,6 +45,7 @@
   readonly #state: StateClient;
   readonly #cloud: CloudClient;
   readonly #mirror = new Mirror();
+  readonly #currency: Currency;
   readonly #lease: NodeLease;
   readonly #learning = new Learning();
   readonly #gossip: Gossip;
@@ -58,7 +62,7 @@
 
   constructor(
     private readonly config: PlatformConfig,
-    operator: OperatorConfig,
+    private readonly operator: OperatorConfig,
     private readonly log: Logger,
   ) {
     const seed = (timeOfDayMs() * 1000 + Math.floor(steadyMs() * 1000) + process.pid) | 0;
@@ -73,6 +77,7 @@
       },
       this.#now,
     );
+    this.#currency = new Currency(this.#state, this.#mirror, this.#now);
     const cloudRps = (config.cloudLimits.rps * operator.cloudRequestShare) / config.nodes;
     this.#cloud = new CloudClient(config.cloud, cloudRps, this.#now);
     this.#lease = new NodeLease(this.#state, config.node, this.#incarnation, this.#now, log);
@@ -88,6 +93,7 @@
       () => this.#types,
       (jobClass) => this.#startWithin(jobClass),
       this.#now,
+      timeOfDayMs,
       log,
     );
     this.#rentals = new Rentals(
@@ -107,6 +113,7 @@
     this.#jobs = new Jobs(
       this.#state,
       this.#mirror,
+      this.#currency,
       {
         types: () => this.#types,
         loads: (spec) => this.#loads(spec),
@@ -116,7 +123,6 @@
       config.teams,
       config.nodes,
       operator.loadThreshold,
-      config.stateLimits.transactionOps,
     );
     this.#mirror.on('change', () => this.#tickSoon());
   }
@@ -176,7 +182,13 @@
   }
 
   async #follow(): Promise<void> {
-    for await (const batch of feed(this.#state, this.#stop.signal)) {
+    const rps = (this.config.stateLimits.rps * this.operator.stateRequestShare) / this.config.nodes;
+    const options = {
+      pauseMs: Math.max(FOLLOW_PAUSE_MS, 1000 / (rps * FEED_SHARE)),
+      now: this.#now,
+      reading: (since: number | null) => this.#currency.reading(since),
+    };
+    for await (const batch of feed(this.#state, this.#stop.signal, options)) {
       this.#mirror.apply(batch as FeedBatch);
     }
   }
@@ -434,6 +446,7 @@
     this.#gossip.close();
     this.#server?.close();
     this.#server?.closeAllConnections();
+    this.#currency.close();
     this.#state.close();
     this.#cloud.close();
   }
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,5 +1,6 @@
 import {
   BACKOFF_429_MS,
+  STATE_BURST_LEAST,
   STATE_BURST_S,
   STATE_CALL_MS,
   STATE_QUEUE_LIMIT,
@@ -33,7 +34,7 @@
 }
 
 /** Order in which calls get tokens. */
-export const CALL = { renew: 0, acceptance: 1, completion: 2, read: 3, rest: 4 } as const;
+export const CALL = { renew: 0, feed: 1, acceptance: 2, completion: 3, read: 4, rest: 5 } as const;
 export type CallClass = (typeof CALL)[keyof typeof CALL];
 
 export interface Entry {
@@ -68,13 +69,15 @@
   readonly writeRps: number;
 }
 
+const burst = (rate: number) => Math.max(STATE_BURST_LEAST, rate * STATE_BURST_S);
+
 /** The one place for calls to the state service. */
 export class StateClient {
   readonly #http: CborClient;
   readonly #watch: CborClient;
   readonly #requests: TokenBucket;
   readonly #writes: TokenBucket;
-  readonly #queues: Waiter[][] = [[], [], [], [], []];
+  readonly #queues: Waiter[][] = [[], [], [], [], [], []];
   #queued = 0;
   #timer: NodeJS.Timeout | null = null;
   /** steady ms of the last answer that shows the service working */
@@ -88,7 +91,6 @@
   ) {
     this.#http = new CborClient(address, STATE_SOCKETS);
     this.#watch = new CborClient(address, 2);
-    const burst = (rate: number) => Math.max(4, rate * STATE_BURST_S);
     this.#requests = new TokenBucket(limits.rps, burst(limits.rps), now());
     this.#writes = new TokenBucket(limits.writeRps, burst(limits.writeRps), now());
   }
@@ -134,6 +136,21 @@
     });
   }
 
+  /** The node's share of the limits changes with the number of nodes that live. */
+  setLimits(limits: StateLimits): void {
+    this.#requests.setRate(limits.rps, burst(limits.rps), this.now());
+    this.#writes.setRate(limits.writeRps, burst(limits.writeRps), this.now());
+  }
+
+  /** ms until a write of this class that comes now would probably leave. */
+  expectedMs(cls: CallClass): number {
+    let writes = 1;
+    for (const queue of this.#queues.slice(0, cls + 1)) {
+      for (const w of queue) writes += w.cost.writes;
+    }
+    return this.#writes.waitMs(writes, this.now(), true);
+  }
+
   /** False once calls fail in a row: an outage, or one that only this node sees. */
   get up(): boolean {
     return this.#troubles < STATE_TROUBLES;
@@ -180,7 +197,7 @@
   async list(prefix: string, since: string | null, limit: number): Promise<Page> {
     const after = since === null ? '' : `&Since=${encodeURIComponent(since)}`;
     const path = `/store?Starts=${encodeURIComponent(prefix)}${after}&Limit=${limit}`;
-    const a = await this.#call(CALL.rest, 'GET', path);
+    const a = await this.#call(CALL.feed, 'GET', path);
     const page = entries.parse(a.body);
     return {
       entries: page.Entries.map((e) => ({ key: e.K, value: e.Value, stamp: e.Stamp })),
@@ -227,7 +244,7 @@
   async follow(since: number, blockMs: number) {
     const path = `/follow?Starts=&Since=${since}&BlockMs=${blockMs}`;
     const limit = blockMs + STATE_CALL_MS;
-    const a = await this.#call(CALL.rest, 'GET', path, undefined, 0, limit, this.#watch);
+    const a = await this.#call(CALL.feed, 'GET', path, undefined, 0, limit, this.#watch);
     if (a.status === 410) return null;
     const n = news.parse(a.body);
     const changes: Change[] = n.News.map((c) => {
--- /dev/null
+++ b/src/state/currency.ts
@@ -0,0 +1,97 @@
+import { HELD_READ_MS, USER_CALL_MS } from '../constants.js';
+import { CALL, StateTrouble, type StateClient } from './client.js';
+import { key } from './keys.js';
+import type { Mirror } from './mirror.js';
+
+interface Waiter {
+  readonly asked: number;
+  /** a probe that began after the request found this epoch */
+  epoch: number | null;
+  readonly resolve: () => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/**
+ * Tells when the mirror shows everything that was committed before a request came in. Then an answer
+ * from the mirror is as current as a read of its own would be, and all requests of a moment share
+ * one read however many jobs they ask about, so no job can wait longer than another.
+ *
+ * The feed's next read does it. While the feed is held, because nothing changes, one small read
+ * tells the present epoch instead.
+ */
+export class Currency {
+  #waiters: Waiter[] = [];
+  /** when the feed's present read began; null between reads */
+  #reading: number | null = null;
+  #probing = false;
+  #timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly client: Pick<StateClient, 'get'>,
+    private readonly mirror: Mirror,
+    private readonly now: () => number,
+  ) {
+    mirror.on('change', () => this.#settle());
+  }
+
+  reading(since: number | null): void {
+    this.#reading = since;
+  }
+
+  wait(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#waiters.push({ asked: this.now(), epoch: null, resolve, reject });
+      this.#look();
+    });
+  }
+
+  #settle(): void {
+    if (!this.mirror.ready) return;
+    const { currentAt, epoch } = this.mirror;
+    this.#waiters = this.#waiters.filter((w) => {
+      const shown = w.asked <= currentAt || (w.epoch !== null && epoch >= w.epoch);
+      if (shown) w.resolve();
+      return !shown;
+    });
+  }
+
+  #look(): void {
+    if (this.#timer !== null || this.#waiters.length === 0) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = null;
+      this.#expire();
+      const held = this.#reading !== null && this.now() - this.#reading >= HELD_READ_MS;
+      if (held && !this.#probing && this.#waiters.some((w) => w.epoch === null)) {
+        void this.#probe();
+      }
+      this.#look();
+    }, HELD_READ_MS);
+  }
+
+  /** Whoever asked so long ago has been refused by now. */
+  #expire(): void {
+    const since = this.now() - 2 * USER_CALL_MS;
+    for (const w of this.#waiters) if (w.asked < since) w.reject(new StateTrouble('busy', 'late'));
+    this.#waiters = this.#waiters.filter((w) => w.asked >= since);
+  }
+
+  async #probe(): Promise<void> {
+    this.#probing = true;
+    const asked = this.#waiters.filter((w) => w.epoch === null);
+    try {
+      const found = await this.client.get(key.never, CALL.read);
+      const epoch = 'missing' in found ? found.epoch : found.stamp;
+      for (const w of asked) w.epoch = epoch;
+      this.#settle();
+    } catch (error) {
+      for (const w of asked) w.reject(error);
+      this.#waiters = this.#waiters.filter((w) => !asked.includes(w));
+    } finally {
+      this.#probing = false;
+    }
+  }
+
+  close(): void {
+    if (this.#timer !== null) clearTimeout(this.#timer);
+  }
+}
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,6 +1,14 @@
 import { z } from 'zod';
 import type { JobRecord, JobSpec, MachineRecord } from '../core/model.js';
 
+/** The machines of one rental that are in the same part, in one value: they cost one write. */
+export interface MachineGroup extends Omit<MachineRecord, 'name' | 'up'> {
+  /** by name: whether the machine is recorded as up */
+  readonly hosts: ReadonlyMap<string, boolean>;
+}
+/** Bitmaps of completed tasks by `<uid>/<first task>`: many ranges of a part in one value. */
+export type DoneSlot = ReadonlyMap<string, string>;
+
 /** Names and values of everything that the service keeps in the state service. */
 
 export const FINAL = 'final/';
@@ -21,12 +29,14 @@
 export const key = {
   part: (index: number) => `parts/${index}`,
   node: (name: string, incarnation: string) => `nodes/${name}/${incarnation}`,
-  machine: (name: string) => `machines/${name}`,
+  machines: (group: string) => `machines/${group}`,
   hire: (part: number, name: string) => `hires/${part}/${name}`,
   active: (uid: string) => `active/${uid}`,
   final: (uid: string) => `${FINAL}${uid}`,
-  done: (uid: string, from: number) => `done/${uid}/${from}`,
+  done: (part: number, slot: number) => `done/${part}/${slot}`,
   term: 'term',
+  /** never written: a read of it tells the present epoch */
+  never: 'never',
 } as const;
 
 export interface PartRecord {
@@ -62,7 +72,7 @@
   type: z.string(),
   zone: z.string(),
   spot: z.boolean(),
-  up: z.boolean(),
+  hosts: z.record(z.string(), z.number()),
 });
 const hire = z.object({ type: z.string(), zone: z.string(), spot: z.boolean(), count: int });
 const final = z.object({ status: z.enum(['done', 'cancelled']), tasks: int, done: int });
@@ -94,8 +104,8 @@
 
 export interface Decoded {
   'active/': JobRecord;
-  'done/': string;
-  'machines/': MachineRecord;
+  'done/': DoneSlot;
+  'machines/': MachineGroup;
   'parts/': PartRecord;
   'nodes/': NodeRecord;
   'hires/': HireRecord;
@@ -120,16 +130,26 @@
     ranges: job.ranges.map((r) => [r.from, r.to, r.part, r.era]),
   };
 };
-export const encodeMachine = (m: MachineRecord): unknown => {
-  const { part, era, type, zone, spot, up } = m;
-  return { part, era, type, zone, spot, up };
+export const encodeGroup = (g: MachineGroup): unknown => {
+  const { part, era, type, zone, spot, hosts } = g;
+  const up = Object.fromEntries([...hosts].map(([name, isUp]) => [name, Number(isUp)]));
+  return { part, era, type, zone, spot, hosts: up };
+};
+export const encodeDoneSlot = (slot: DoneSlot): unknown => Object.fromEntries(slot);
+/** The machines of a group one by one, as the core knows them. */
+export const machinesOf = (g: MachineGroup): MachineRecord[] => {
+  const { part, era, type, zone, spot } = g;
+  return [...g.hosts].map(([name, up]) => ({ name, part, era, type, zone, spot, up }));
 };
 export const decodeFinal = (value: unknown): FinalState => final.parse(value);
 
 export const decoders: { [P in Prefix]: (id: string, value: unknown) => Decoded[P] } = {
   'active/': decodeActive,
-  'done/': (_, value) => z.string().parse(value),
-  'machines/': (id, value) => ({ name: id, ...machine.parse(value) }),
+  'done/': (_, value) => new Map(Object.entries(z.record(z.string(), z.string()).parse(value))),
+  'machines/': (_, value) => {
+    const { hosts, ...rest } = machine.parse(value);
+    return { ...rest, hosts: new Map(Object.entries(hosts).map(([n, up]) => [n, up !== 0])) };
+  },
   'parts/': (_, value) => part.parse(value),
   'nodes/': (id, value) => ({ node: id.slice(0, id.lastIndexOf('/')), ...node.parse(value) }),
   'hires/': (id, value) => {
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,21 +1,18 @@
 import { EventEmitter } from 'node:events';
 import { Readable } from 'node:stream';
-import {
-  FINALS_IN_MEMORY,
-  FOLLOW_BLOCK_MS,
-  FOLLOW_PAUSE_MS,
-  LIST_PAGE,
-  STATE_PAUSE_MS,
-} from '../constants.js';
+import { FINALS_IN_MEMORY, FOLLOW_BLOCK_MS, LIST_PAGE, STATE_PAUSE_MS } from '../constants.js';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { StateTrouble, type Change, type StateClient } from './client.js';
 import type { Write } from '../wire/schemas.js';
+import type { MachineRecord } from '../core/model.js';
 import {
   FINAL,
   MIRRORED,
   decodeFinal,
+  machinesOf,
   prefixOf,
   type FinalState,
+  type MachineGroup,
   type Prefix,
   decoders,
   type Decoded,
@@ -30,34 +27,51 @@
   readonly epoch: number;
   /** a listing's last epoch: until the changes reach it, it shows a mixture */
   readonly whole?: number;
+  /** steady ms at which the read began: what was committed before it is in the mirror now */
+  readonly began?: number;
+}
+
+/** How the feed reads; `held` is told when a read begins and ends. */
+export interface FeedOptions {
+  readonly pauseMs: number;
+  readonly now: () => number;
+  readonly reading?: (since: number | null) => void;
 }
 
 /**
  * The feed of the state service as an object stream: first a listing, then every change. An answer
  * of 410 starts over with a listing.
  */
-export const feed = (client: StateClient, signal: AbortSignal): Readable =>
-  Readable.from(steps(client, signal), { objectMode: true, highWaterMark: 1 });
+export const feed = (client: StateClient, signal: AbortSignal, options: FeedOptions): Readable =>
+  Readable.from(steps(client, signal, options), { objectMode: true, highWaterMark: 1 });
 
-async function* steps(client: StateClient, signal: AbortSignal): AsyncGenerator<FeedBatch> {
+async function* steps(
+  client: StateClient,
+  signal: AbortSignal,
+  { pauseMs, now, reading }: FeedOptions,
+): AsyncGenerator<FeedBatch> {
   let since: number | null = null;
   while (!signal.aborted) {
+    const began = now();
     try {
       if (since === null) {
         const listing: FeedBatch = await listAll(client);
-        yield listing;
+        yield { ...listing, began };
         since = listing.epoch;
       } else {
+        reading?.(began);
         const step = await client.follow(since, FOLLOW_BLOCK_MS);
+        reading?.(null);
         if (step === null) {
           since = null;
           continue;
         }
         since = Math.max(since, step.epoch);
-        yield { fresh: false, changes: step.changes, epoch: since };
-        await sleep(FOLLOW_PAUSE_MS);
+        yield { fresh: false, changes: step.changes, epoch: since, began };
+        await sleep(pauseMs);
       }
     } catch (error) {
+      reading?.(null);
       if (!(error instanceof StateTrouble)) throw error;
       // The client keeps the books on trouble; here it only means: later again.
       await sleep(STATE_PAUSE_MS);
@@ -89,6 +103,9 @@
   readonly value: T;
   readonly stamp: number;
 }
+export interface MirroredMachine extends Mirrored<MachineRecord> {
+  readonly group: string;
+}
 type Tables = { [P in Prefix]: Map<string, Mirrored<Decoded[P]>> };
 
 const emptyTables = (): Tables => ({
@@ -107,9 +124,15 @@
  */
 export class Mirror extends EventEmitter {
   tables = emptyTables();
+  /** the machines of all groups by name */
+  readonly machines = new Map<string, MirroredMachine>();
+  /** counts what was taken in: as long as it stays, there is nothing new to compare with */
+  version = 0;
   /** final states seen; the oldest are forgotten first and can be read again */
   readonly finals = new Map<string, FinalState>();
   epoch = -1;
+  /** steady ms: everything that was committed before is shown */
+  currentAt = -Infinity;
   #ownEpoch = -1;
   /** keys that we removed ahead of the feed: older changes must not bring them back */
   readonly #removed = new Map<string, number>();
@@ -123,12 +146,15 @@
   apply(batch: FeedBatch): void {
     if (batch.fresh) {
       this.tables = emptyTables();
+      this.machines.clear();
       // A listing may be older than our own latest writes: without them it would show machines as
       // gone on which tasks run.
       this.#whole = Math.max(batch.whole ?? batch.epoch, this.#ownEpoch);
     }
     for (const change of batch.changes) this.#change(change);
     this.epoch = batch.epoch;
+    this.currentAt = Math.max(this.currentAt, batch.began ?? -Infinity);
+    if (batch.fresh || batch.changes.length > 0) this.version += 1;
     for (const [key, stamp] of this.#removed) if (stamp <= this.epoch) this.#removed.delete(key);
     this.emit('change', batch);
   }
@@ -136,6 +162,7 @@
   /** Shows a transaction of our own at once, ahead of the feed. */
   applyOwn(writes: readonly Write[], epoch: number): void {
     this.#ownEpoch = Math.max(this.#ownEpoch, epoch);
+    this.version += 1;
     for (const w of writes) {
       const removed = 'drop' in w;
       const change = removed
@@ -159,8 +186,39 @@
     const known = table.get(id);
     if (known !== undefined && known.stamp > change.stamp) return;
     if ((this.#removed.get(change.key) ?? -1) > change.stamp) return;
+    const value = change.removed ? undefined : decoders[prefix](id, change.value);
+    if (prefix === 'machines/') {
+      const old = known?.value as MachineGroup | undefined;
+      this.#regroup(id, old, value as MachineGroup | undefined, change.stamp);
+    }
     if (change.removed) table.delete(id);
-    else table.set(id, { value: decoders[prefix](id, change.value), stamp: change.stamp });
+    else table.set(id, { value, stamp: change.stamp });
+  }
+
+  #regroup(
+    group: string,
+    old: MachineGroup | undefined,
+    now: MachineGroup | undefined,
+    stamp: number,
+  ): void {
+    for (const name of old?.hosts.keys() ?? []) {
+      // A machine that has moved to another group in the same transaction is there already.
+      if (this.machines.get(name)?.group === group) this.machines.delete(name);
+    }
+    if (now === undefined) return;
+    for (const value of machinesOf(now)) this.machines.set(value.name, { value, stamp, group });
+  }
+
+  /** Completed tasks of a range as its part has saved them. */
+  done(part: number, uid: string, from: number): string | undefined {
+    const range = `${uid}/${from}`;
+    // A part has a handful of slots at most.
+    for (const [id, { value }] of this.tables['done/']) {
+      if (!id.startsWith(`${part}/`)) continue;
+      const bits = value.get(range);
+      if (bits !== undefined) return bits;
+    }
+    return undefined;
   }
 
   learnFinal(uid: string, value: unknown): FinalState {
--- a/src/tokens.ts
+++ b/src/tokens.ts
@@ -8,14 +8,20 @@
   #blockedUntil = 0;
 
   constructor(
-    private readonly perSecond: number,
-    private readonly most: number,
+    private perSecond: number,
+    private most: number,
     now: number,
   ) {
     this.#tokens = most;
     this.#at = now;
   }
 
+  setRate(perSecond: number, most: number, now: number): void {
+    this.#refill(now);
+    this.perSecond = perSecond;
+    this.most = most;
+  }
+
   #refill(now: number): void {
     const passed = Math.max(0, now - this.#at) / 1000;
     this.#tokens = Math.min(this.most, this.#tokens + passed * this.perSecond);
@@ -32,10 +38,10 @@
     return true;
   }
 
-  /** ms until `cost` tokens may be there. */
-  waitMs(cost: number, now: number): number {
+  /** ms until `cost` tokens may be there; of several calls together, until all of them are. */
+  waitMs(cost: number, now: number, together = false): number {
     this.#refill(now);
-    const missing = Math.max(0, Math.min(cost, this.most) - this.#tokens);
+    const missing = Math.max(0, (together ? cost : Math.min(cost, this.most)) - this.#tokens);
     return Math.max((missing / this.perSecond) * 1000, this.#blockedUntil - now, 0);
   }
 
--- a/src/users/api.ts
+++ b/src/users/api.ts
@@ -43,8 +43,9 @@
     ctx.type = 'application/cbor';
     ctx.body = Buffer.from(toBytes(body));
   };
-  const refuse = (ctx: Koa.Context, reason: string): void => {
-    const seconds = RETRY_AFTER_S.least + side.random(RETRY_AFTER_S.spread + 1);
+  const refuse = (ctx: Koa.Context, reason: string, waitMs = 0): void => {
+    const least = Math.min(RETRY_AFTER_S.most, Math.max(RETRY_AFTER_S.least, waitMs / 1000));
+    const seconds = Math.ceil(least) + side.random(RETRY_AFTER_S.spread + 1);
     ctx.set('Retry-After', String(seconds));
     send(ctx, 503, { error: reason });
   };
@@ -96,7 +97,7 @@
       send(ctx, 201, statusBody(parsed.data.uid, 'queued'));
     } else if (result.kind === 'known') send(ctx, 200, stateOf(parsed.data.uid, result.answer));
     else if (result.kind === 'never') send(ctx, 422, { error: result.reason });
-    else refuse(ctx, result.reason);
+    else refuse(ctx, result.reason, result.waitMs);
   };
 
   const query = async (ctx: Koa.Context, uid: string): Promise<void> => {
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -1,4 +1,10 @@
-import { CANCEL_TRIES, LOAD_PER_RANGE, NAME_LIMIT, TYPE_LIST_BYTES } from '../constants.js';
+import {
+  CANCEL_TRIES,
+  LOAD_PER_RANGE,
+  NAME_LIMIT,
+  SUBMIT_WAIT_MS,
+  TYPE_LIST_BYTES,
+} from '../constants.js';
 import { admit } from '../core/admission.js';
 import {
   choosePart,
@@ -10,8 +16,9 @@
 } from '../core/jobs.js';
 import type { PartLoad } from '../core/jobs.js';
 import type { JobRecord, JobSpec, MachineType, TaskRange, Team } from '../core/model.js';
-import { CALL, type StateClient } from '../state/client.js';
-import { decodeActive, encodeActive, key, type FinalState } from '../state/keys.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import type { Currency } from '../state/currency.js';
+import { encodeActive, key, type FinalState } from '../state/keys.js';
 import type { Mirror } from '../state/mirror.js';
 import { SharedReads } from '../state/reads.js';
 import type { Write } from '../wire/schemas.js';
@@ -26,7 +33,7 @@
   | { readonly kind: 'accepted' }
   | { readonly kind: 'known'; readonly answer: JobAnswer }
   | { readonly kind: 'never'; readonly reason: string }
-  | { readonly kind: 'undecided'; readonly reason: string };
+  | { readonly kind: 'undecided'; readonly reason: string; readonly waitMs?: number };
 
 /** What the user side needs to know of the parts. */
 export interface Routing {
@@ -39,15 +46,17 @@
 /** Jobs as users see them: accepted, read and cancelled by transactions and current reads. */
 export class Jobs {
   readonly #reads: SharedReads;
+  /** submissions on their way: a repeat joins its first try instead of costing another write */
+  readonly #submitting = new Map<string, Promise<Submitted>>();
 
   constructor(
     private readonly client: StateClient,
     private readonly mirror: Mirror,
+    private readonly currency: Pick<Currency, 'wait'>,
     private readonly routing: Routing,
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly parts: number,
     private readonly loadThreshold: number,
-    private readonly transactionOps: number,
   ) {
     this.#reads = new SharedReads(client);
   }
@@ -57,20 +66,32 @@
     return this.mirror.finals.has(uid);
   }
 
-  /** The present state. Active first, then final: the move between them is one transaction. */
+  /**
+   * The present state. The mirror is brought up to date first; a job that is not active there has
+   * ended or never was, since the move from active to final is one transaction.
+   */
   async current(uid: string): Promise<JobAnswer> {
     const final = this.mirror.finals.get(uid);
     if (final !== undefined) return { kind: 'final', final };
-    const active = await this.#reads.read(key.active(uid));
-    if (!('missing' in active)) {
-      return { kind: 'active', job: decodeActive(uid, active.value), stamp: active.stamp };
-    }
+    await this.currency.wait();
+    const active = this.mirror.tables['active/'].get(uid);
+    if (active !== undefined) return { kind: 'active', job: active.value, stamp: active.stamp };
+    const now = this.mirror.finals.get(uid);
+    if (now !== undefined) return { kind: 'final', final: now };
     const ended = await this.#reads.read(key.final(uid));
     if ('missing' in ended) return { kind: 'missing' };
     return { kind: 'final', final: this.mirror.learnFinal(uid, ended.value) };
   }
 
-  async submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
+  submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
+    const open = this.#submitting.get(spec.uid);
+    if (open !== undefined) return open;
+    const work = this.#submit(spec, nowMs).finally(() => this.#submitting.delete(spec.uid));
+    this.#submitting.set(spec.uid, work);
+    return work;
+  }
+
+  async #submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
     const final = this.mirror.finals.get(spec.uid);
     if (final !== undefined) return { kind: 'known', answer: { kind: 'final', final } };
     const types = this.routing.types();
@@ -82,6 +103,13 @@
       if (answer.kind !== 'missing') return { kind: 'known', answer };
       return { kind: 'never', reason: verdict };
     }
+    const active = this.mirror.tables['active/'].get(spec.uid);
+    if (active !== undefined) return { kind: 'known', answer: await this.current(spec.uid) };
+    // What would only be refused after a wait is refused at once.
+    const waitMs = this.client.expectedMs(CALL.acceptance);
+    if (waitMs > SUBMIT_WAIT_MS) {
+      return { kind: 'undecided', reason: 'more submissions than can be written', waitMs };
+    }
     const ranges = this.#route(spec);
     if (ranges === null) return { kind: 'undecided', reason: 'parts have no owner yet' };
     const record: JobRecord = { spec: this.#compact(spec, types), at: nowMs, ranges };
@@ -140,13 +168,8 @@
       const answer = await this.current(uid);
       if (answer.kind === 'missing') return null;
       if (answer.kind === 'final') return answer.final;
-      const done = [...this.mirror.tables['done/'].keys()].filter((k) => k.startsWith(`${uid}/`));
       const final: FinalState = { status: 'cancelled', tasks: answer.job.spec.tasks, done: 0 };
-      const writes: Write[] = [
-        { drop: key.active(uid) },
-        { put: key.final(uid), value: final },
-        ...done.slice(0, this.transactionOps - 2).map((k) => ({ drop: `done/${k}` })),
-      ];
+      const writes: Write[] = [{ drop: key.active(uid) }, { put: key.final(uid), value: final }];
       const result = await this.client.transact(
         CALL.acceptance,
         [{ key: key.active(uid), stamp: answer.stamp }],
@@ -157,6 +180,6 @@
         return final;
       }
     }
-    throw new Error(`job ${uid} changes faster than it can be cancelled`);
+    throw new StateTrouble('busy', `job ${uid} changes faster than it can be cancelled`);
   }
 }
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -73,9 +73,14 @@
 /** The state service's tables as a part sees them. */
 export class Store {
   readonly jobs = new Map<string, { value: JobRecord }>();
-  readonly done = new Map<string, { value: string }>();
+  /** bitmaps by `<uid>/<first task>` */
+  readonly bits = new Map<string, string>();
   readonly machines = new Map<string, { value: MachineRecord }>();
 
+  done(uid: string, from: number): string | undefined {
+    return this.bits.get(`${uid}/${from}`);
+  }
+
   add(...records: (JobRecord | MachineRecord)[]): this {
     for (const r of records) {
       if ('spec' in r) this.jobs.set(r.spec.uid, { value: r });
--- a/test/keeper.test.ts
+++ b/test/keeper.test.ts
@@ -11,7 +11,7 @@
 } from '../src/constants.js';
 import { Keeper } from '../src/keeper.js';
 import { StateTrouble, type Outcome } from '../src/state/client.js';
-import { encodeActive, encodeMachine } from '../src/state/keys.js';
+import { encodeActive, encodeGroup } from '../src/state/keys.js';
 import { Mirror } from '../src/state/mirror.js';
 import type { Write } from '../src/wire/schemas.js';
 import { job, machine, machineType, settings } from './helpers.js';
@@ -25,6 +25,8 @@
   stateLimits: { rps: 100, writeRps: 100, valueBytes: 8192, transactionOps: 8 },
 } as unknown as PlatformConfig;
 
+const X_UP = new Map([['x', true]]);
+
 /** A keeper that owns part 1, which belongs to a node that is back, and whose calls can be made to fail. */
 const scene = () => {
   const mirror = new Mirror();
@@ -70,6 +72,7 @@
     () => new Map([['m', machineType()]]),
     () => [],
     () => world.now,
+    () => 0,
     pino({ level: 'silent' }),
   );
   const put = (key: string, value: unknown, stamp: number) => ({
@@ -88,7 +91,7 @@
       put('parts/1', { owner: 'n0', incarnation: 'a', term: 5 }, 10),
       put('nodes/n0/a', { incarnation: 'a' }, 2),
       put('nodes/n1/b', { incarnation: 'b' }, 11),
-      put('machines/x', encodeMachine(machine('x', { part: 1, era: 5 })), 12),
+      put('machines/g', encodeGroup({ ...machine('x', { part: 1, era: 5 }), hosts: X_UP }), 12),
       put('active/job-000001', encodeActive(job({}, 5, 1)), 13),
     ],
   });
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -42,7 +42,7 @@
       const { uid, tasks } = j.spec;
       part.saved(uid, [...j.unsaved]);
       if (j.saved.size > 0) {
-        store.done.set(`${uid}/0`, { value: encodeDone({ from: 0, to: tasks }, j.saved) });
+        store.bits.set(`${uid}/0`, encodeDone({ from: 0, to: tasks }, j.saved));
       }
       if (j.saved.size === tasks && !j.over) {
         const done = ground.completed.get(uid)?.size ?? 0;
