--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -1,4 +1,11 @@
-import { CLOUD_BURST_S, CLOUD_CALL_MS, CLOUD_LIST_PAGE, CLOUD_SOCKETS } from '../constants.js';
+import {
+  CLOUD_BURST_S,
+  CLOUD_CALL_MS,
+  CLOUD_LIST_PAGE,
+  CLOUD_SOCKETS,
+  LIST_SHARE,
+  TOKEN_POLL_MS,
+} from '../constants.js';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType } from '../core/model.js';
 import { CborClient, NoAnswer, type Answer } from '../http.js';
@@ -21,9 +28,20 @@
   | { readonly kind: 'no_capacity' }
   | { readonly kind: 'malformed'; readonly answer: string };
 
+/** Order in which calls get tokens: what must be gone, then what is waited for, then news. */
+const CALL = { giveBack: 0, rent: 1, list: 2 } as const;
+type CallClass = (typeof CALL)[keyof typeof CALL];
+
+const burst = (rps: number): number => Math.max(1, rps * CLOUD_BURST_S);
+
 export class CloudClient {
   readonly #http: CborClient;
   readonly #tokens: TokenBucket;
+  /** calls that wait for a token, by class */
+  readonly #waiting = [0, 0, 0];
+  #rps: number;
+  /** of the newest list */
+  #pages = 1;
 
   constructor(
     address: string,
@@ -31,13 +49,36 @@
     private readonly now: () => number,
   ) {
     this.#http = new CborClient(address, CLOUD_SOCKETS);
-    this.#tokens = new TokenBucket(rps, Math.max(1, rps * CLOUD_BURST_S), now());
+    this.#rps = rps;
+    this.#tokens = new TokenBucket(rps, burst(rps), now());
+  }
+
+  /** The node's share of the limit changes with the number of nodes that live. */
+  setRate(rps: number): void {
+    this.#rps = rps;
+    this.#tokens.setRate(rps, burst(rps), this.now());
   }
 
-  async #call(method: string, path: string, body?: unknown): Promise<Answer> {
-    while (!this.#tokens.take(1, this.now())) {
-      await sleep(Math.max(1, Math.ceil(this.#tokens.waitMs(1, this.now()))));
+  /** ms; a list of so many pages may be read this often without taking the calls from the rest. */
+  listEveryMs(): number {
+    return (this.#pages * 1000) / (this.#rps * LIST_SHARE);
+  }
+
+  async #token(cls: CallClass): Promise<void> {
+    this.#waiting[cls]! += 1;
+    try {
+      for (;;) {
+        const ahead = this.#waiting.slice(0, cls).some((n) => n > 0);
+        if (!ahead && this.#tokens.take(1, this.now())) return;
+        await sleep(Math.max(TOKEN_POLL_MS, Math.ceil(this.#tokens.waitMs(1, this.now()))));
+      }
+    } finally {
+      this.#waiting[cls]! -= 1;
     }
+  }
+
+  async #call(cls: CallClass, method: string, path: string, body?: unknown): Promise<Answer> {
+    await this.#token(cls);
     try {
       const answer = await this.#http.call(method, path, body, CLOUD_CALL_MS);
       if (answer.status === 429) throw new CloudTrouble(`${method} ${path}: 429`);
@@ -49,13 +90,13 @@
   }
 
   async types(): Promise<MachineType[]> {
-    const a = await this.#call('GET', '/machine_types');
+    const a = await this.#call(CALL.rent, 'GET', '/machine_types');
     if (a.status !== 200) throw new CloudTrouble(`machine types: ${a.status}`);
     return machineTypes.parse(a.body).Hosttypes;
   }
 
   async rent(request: RentRequest): Promise<RentResult> {
-    const a = await this.#call('POST', '/rentals', rentBody(request));
+    const a = await this.#call(CALL.rent, 'POST', '/rentals', rentBody(request));
     if (a.status === 200) return { kind: 'rented', machines: rented.parse(a.body).Hosts };
     if (a.status === 400) return { kind: 'malformed', answer: JSON.stringify(a.body) };
     const error = (a.body as { error?: unknown } | null)?.error;
@@ -65,20 +106,25 @@
 
   /** When this resolves, the machines and everything on them are gone. */
   async giveBack(machines: readonly string[]): Promise<void> {
-    const a = await this.#call('POST', '/rentals/return', returnBody(machines));
+    const a = await this.#call(CALL.giveBack, 'POST', '/rentals/return', returnBody(machines));
     if (a.status !== 200) throw new CloudTrouble(`return: ${a.status}`);
   }
 
   async list(): Promise<ListedMachine[]> {
     const out: ListedMachine[] = [];
+    let pages = 0;
     for (let since = ''; ;) {
+      pages += 1;
       const after = since === '' ? '' : `Since=${encodeURIComponent(since)}&`;
-      const a = await this.#call('GET', `/rentals?${after}Limit=${CLOUD_LIST_PAGE}`);
+      const a = await this.#call(CALL.list, 'GET', `/rentals?${after}Limit=${CLOUD_LIST_PAGE}`);
       if (a.status !== 200) throw new CloudTrouble(`machine list: ${a.status}`);
       const page = machineList.parse(a.body);
       out.push(...page.Hosts);
       const last = page.Hosts.at(-1);
-      if (!(page.Truncated ?? false) || last === undefined) return out;
+      if (!(page.Truncated ?? false) || last === undefined) {
+        this.#pages = pages;
+        return out;
+      }
       since = last.name;
     }
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,7 +27,7 @@
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 30;
+export const SOON_MS = 80;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
@@ -88,6 +88,11 @@
  * of an outage the nodes see it a little apart, and a node that leaves comes back late.
  */
 export const READY_GRACE_MS = 3000;
+/**
+ * ms; a node without state that hears no other node leaves the load balancer after this: by then its
+ * lease is over and others have taken its parts. Its users are better served by them.
+ */
+export const CUT_OFF_MS = 8000;
 
 // --- membership ---------------------------------------------------------------------------------
 /** ms; a stray worker is told to the others for this long. */
@@ -102,6 +107,8 @@
 export const HANDOVER_SETTLE_MS = 2500;
 /** ms; gossip interval between nodes. */
 export const GOSSIP_MS = 1000;
+/** messages; one in so many carries what is large and changes slowly. */
+export const DETAIL_EVERY = 4;
 /** ms; a peer not heard for this long counts as unreachable. */
 export const PEER_FRESH_MS = 3500;
 /** bytes; a gossip message is a few KiB, so a longer frame is an error of the sender. */
@@ -126,6 +133,15 @@
 export const LOST_REPORTS = 4.5;
 /** s; a stop whose task still runs after its grace and this is repeated with no grace. */
 export const STOP_OVERDUE_S = 6;
+/** orders in a row without effect after which a machine counts as one that hears nothing. */
+export const IGNORED_ORDERS = 2;
+/** report intervals after which a machine that hears nothing is returned to the cloud. */
+export const DEAF_REPORTS = 2;
+/** share of the time for a cancellation after which a task that was told to stop and still runs
+ * costs its machine: the rest is for the cloud's answer, and for asking again. */
+export const STOP_PATIENCE = 0.5;
+/** stuck jobs for which room is sought in one pass: each looks at every machine of the part. */
+export const ROOM_TRIES = 8;
 /** distinct jobs that must fail on a machine, without a success between, to condemn it. */
 export const SICK_JOBS = 2;
 /** s; first and longest pause of a job whose tasks fail on machine after machine. */
@@ -172,6 +188,10 @@
 export const CLOUD_CALL_MS = 4000;
 /** ms; the machine list is read this often by each owner. */
 export const LIST_MS = 5000;
+/** share of a node's calls to the cloud that reading the list may take. */
+export const LIST_SHARE = 0.35;
+/** ms; a call that lets others go first looks again after this. */
+export const TOKEN_POLL_MS = 50;
 /** s of the cloud's limit that may be spent at once; the cloud allows two seconds' worth. */
 export const CLOUD_BURST_S = 1.5;
 /** ms; machine types (prices) are read again this often. */
--- a/src/core/allowed.ts
+++ b/src/core/allowed.ts
@@ -1,14 +1,13 @@
 import type { Books, JobState, MachineState } from './books.js';
 
-/** The one check that every start passes, for the machine's kind and the job's other tasks. */
-export const allowed = (books: Books, m: MachineState, job: JobState, now: number): boolean => {
+/** Whether a usable machine may take a task of the job, by its kind and the job's other tasks. */
+export const allowedOn = (m: MachineState, job: JobState, now: number): boolean => {
   const { spec } = job;
-  if (!books.usable(m, now)) return false;
   if (spec.types !== null && !spec.types.includes(m.record.type)) return false;
   if (spec.zone !== null && spec.zone !== m.record.zone) return false;
   if (m.record.spot && !spec.spot) return false;
   if (m.hold !== null && m.hold.uid !== spec.uid) return false;
-  if ((job.avoid.get(m.record.name) ?? -Infinity) > now) return false;
+  if (job.avoid.size > 0 && (job.avoid.get(m.record.name) ?? -Infinity) > now) return false;
   // A machine that just failed a task gets one task at a time until one succeeds.
   if (m.failedJobs.size > 0 && m.tasks.size > 0) return false;
   if (spec.oneZone || spec.spread) {
@@ -21,3 +20,7 @@
   }
   return true;
 };
+
+/** The one check that every start passes. */
+export const allowed = (books: Books, m: MachineState, job: JobState, now: number): boolean =>
+  books.usable(m, now) && allowedOn(m, job, now);
--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -1,18 +1,22 @@
 import {
   ATTEMPTS_PER_TERM,
   CLOCK_DRIFT,
+  DEAF_REPORTS,
   LOST_REPORTS,
   ORDER_UNSENT_MS,
   PASS_AGAIN_MS,
   SILENT_REPORTS,
+  STOP_PATIENCE,
   WORKER_LEASE_MARGIN_MS,
 } from '../constants.js';
 import { decodeDone } from './jobs.js';
+import { dominant } from './pairing.js';
 import {
   add,
   largestCapacity,
   RESOURCE_KINDS,
   PRIORITY_RANK,
+  shareOf,
   ZERO,
   type JobRecord,
   type JobSpec,
@@ -44,6 +48,9 @@
 export interface JobState {
   readonly spec: JobSpec;
   readonly rank: number;
+  /** demand as a share of C', and its dominant resource */
+  readonly share: Resources;
+  readonly dominant: ResourceKind;
   readonly acceptedAt: number;
   /** accepted, by the steady clock, ms */
   readonly seenAt: number;
@@ -77,18 +84,26 @@
   address: string | null;
   session: number;
   counter: number;
+  /** counter of the newest report that came by itself, not as the answer to a command */
+  lastReport: number;
+  /** since when orders show no effect: reports come, but what we say does not arrive */
+  deafSince: number | null;
+  /** orders in a row that showed no effect */
+  ignored: number;
   /** sessions below this are over, by the clock */
   leastSession: number;
   lastBeatAt: number;
   answeredAt: number;
   /** a report under our term has come: its task list is complete */
   known: boolean;
+  knownSince: number;
   everKnown: boolean;
   firstKnownAt: number | null;
   noticeAt: number | null;
   readonly tasks: Map<string, Placement>;
   /** reported tasks that have no place in our books and are being stopped */
   foreign: number;
+  foreignSince: number | null;
   /** attempts whose direct start may still be under way: forgetting them could start them again */
   readonly doubtful: Set<string>;
   readonly images: Map<string, number>;
@@ -98,7 +113,8 @@
   leaving: boolean;
   returning: boolean;
   fullUntil: number;
-  hold: { uid: string; until: number } | null;
+  /** kept for a job; partial: its gang has not enough machines in sight yet */
+  hold: { uid: string; until: number; partial: boolean } | null;
   idleSince: number;
   free: Resources;
 }
@@ -106,6 +122,7 @@
 export interface PartSettings {
   readonly reportMs: number;
   readonly leaseMs: number;
+  readonly cancelMs: number;
   readonly teams: ReadonlyMap<string, Team>;
   readonly types: ReadonlyMap<string, MachineType>;
   readonly preempt: boolean;
@@ -202,15 +219,20 @@
       address: null,
       session: 0,
       counter: -1,
+      lastReport: -1,
+      deafSince: null,
+      ignored: 0,
       leastSession: 0,
       lastBeatAt: -Infinity,
       answeredAt: -Infinity,
       known: false,
+      knownSince: now,
       everKnown: false,
       firstKnownAt: null,
       noticeAt: null,
       tasks: new Map(),
       foreign: 0,
+      foreignSince: null,
       doubtful: new Set(),
       images: new Map(this.settings.imagesOf(record.name)),
       failedJobs: new Set(),
@@ -233,6 +255,8 @@
       job ??= {
         spec,
         rank: PRIORITY_RANK[spec.priority],
+        share: shareOf(spec.demand, this.largest),
+        dominant: dominant(shareOf(spec.demand, this.largest)),
         acceptedAt: record.at,
         // A new owner counts a job's age on, rather than anew.
         seenAt: now - Math.max(0, nowOfDay - record.at),
@@ -394,7 +418,16 @@
     if (m.tasks.size > 0) m.idleSince = now;
   }
 
+  /**
+   * A task of a gang that may save takes all of its gang along: only if all are told at the same
+   * time is their progress saved.
+   */
   requestStop(p: Placement, graceS: number, now: number): void {
+    const gang = p.job.spec.kind === 'gang' && graceS > 0;
+    for (const one of gang ? [...p.job.placed.values()] : [p]) this.#stop(one, graceS, now);
+  }
+
+  #stop(p: Placement, graceS: number, now: number): void {
     if (neverSent(p)) {
       this.release(p, now);
       return;
@@ -438,6 +471,23 @@
     return expected && now - last > this.settings.reportMs * LOST_REPORTS;
   }
 
+  /**
+   * Reports come, but orders have had no effect for so long that the machine is better given back:
+   * only that surely ends what runs there, which matters for cancelled jobs most of all.
+   */
+  isDeaf(m: MachineState, now: number): boolean {
+    if (m.deafSince !== null && now - m.deafSince > this.settings.reportMs * DEAF_REPORTS) {
+      return true;
+    }
+    const patience = this.settings.cancelMs * STOP_PATIENCE;
+    for (const p of m.tasks.values()) {
+      if (p.stop === null) continue;
+      const grace = p.job.over ? 0 : p.stop.graceS * 1000;
+      if (now - p.stop.at > grace + patience) return true;
+    }
+    return m.foreignSince !== null && now - m.foreignSince > patience;
+  }
+
   isFresh(m: MachineState, now: number): boolean {
     return m.known && now - m.lastBeatAt <= this.settings.reportMs * SILENT_REPORTS;
   }
@@ -484,6 +534,7 @@
       !m.leaving &&
       !m.returning &&
       m.noticeAt === null &&
+      m.deafSince === null &&
       m.foreign === 0 &&
       m.fullUntil <= now
     );
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -53,11 +53,14 @@
     const m = this.books.machines.get(report.machine);
     if (m === undefined) return { kind: 'unknown' };
     if (report.token > this.books.term) return { kind: 'superseded' };
-    // Packets held back by a cut come late: a report older than one seen says nothing new.
-    const newer =
-      report.session > m.session || (report.session === m.session && report.counter > m.counter);
-    if (report.session < m.leastSession) return { kind: 'old' };
-    if (!newer) {
+    // Packets held back by a cut come late, and so do copies of reports. What was made before the
+    // newest report says nothing new, and the worker does not wait for its answer any more.
+    const past = report.session < Math.max(m.session, m.leastSession);
+    if (past || (report.session === m.session && report.counter <= m.lastReport)) {
+      return { kind: 'old' };
+    }
+    m.lastReport = report.counter;
+    if (report.session === m.session && report.counter <= m.counter) {
       // Its answer to a direct command overtook this report. Sending it away would cost the worker
       // its node, and an answer without orders does no harm.
       m.answeredAt = now;
@@ -71,7 +74,7 @@
       return { kind: 'answer', commands: [] };
     }
     // Room that this report shows is given away in its own answer.
-    if (mayStart) this.placeAll(now);
+    if (mayStart) this.#placing.placeOn(m, now);
     return { kind: 'answer', commands: this.#orders.answer(m, report, now, mayStart) };
   }
 
@@ -126,6 +129,9 @@
   unknownMachines(): MachineState[] {
     return this.books.unknownMachines();
   }
+  isDeaf(m: MachineState, now: number): boolean {
+    return this.books.isDeaf(m, now);
+  }
   isLost(m: MachineState, now: number): boolean {
     return this.books.isLost(m, now);
   }
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,12 +1,13 @@
 import { NO_AIM_S } from '../constants.js';
-import { allowed } from './allowed.js';
-import type { Books, JobState, MachineState, Placement } from './books.js';
+import { taskKey, type Books, type JobState, type MachineState, type Placement } from './books.js';
 import type { Limits } from './limits.js';
-import { add, fits, shareOf, type Resources } from './model.js';
-import { taskKey } from './books.js';
+import { add, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
 import { complement, type TaskGroup } from './pairing.js';
-import { mostMatched } from './placement.js';
 import type { Preemption } from './preemption.js';
+import { Rooms } from './rooms.js';
+
+/** Waiting jobs by dominant resource, in the queue's order: partners are sought among the others. */
+type Partners = ReadonlyMap<ResourceKind, readonly { job: JobState; position: number }[]>;
 
 /** The queue of a part, and where its tasks go. */
 export class Placing {
@@ -17,8 +18,7 @@
   ) {}
 
   /** Steady ms by which the job's tasks should start: its first aim that can still be met. */
-  #due(job: JobState, now: number): number {
-    const aims = this.books.settings.startWithin(job.spec.jobClass);
+  #due(job: JobState, aims: readonly number[], now: number): number {
     for (const within of aims) {
       const due = job.seenAt + within * 1000;
       if (due >= now) return due;
@@ -28,14 +28,25 @@
     return job.seenAt + last * 1000;
   }
 
-  /** Jobs with tasks to place, most urgent first: rank, then guarantee, then due time and age. */
+  /**
+   * Jobs with tasks to place, most urgent first: rank, then guarantee, then due time and age. A job's
+   * due time stays once its aims are missed, so no stream of newer work can keep it waiting.
+   */
   queue(now: number): JobState[] {
     const rebuilt = this.books.rebuilt;
+    const aimsOf = new Map<string, readonly number[]>();
     const open: { job: JobState; guaranteed: boolean; due: number }[] = [];
     for (const job of this.books.jobs.values()) {
       if (job.over || job.waiting.length === 0 || job.broken || job.pausedUntil > now) continue;
       if (!rebuilt && job.inherited.size > 0) continue;
-      open.push({ job, guaranteed: this.limits.guaranteed(job), due: this.#due(job, now) });
+      const { jobClass } = job.spec;
+      let aims = aimsOf.get(jobClass);
+      if (aims === undefined) {
+        aims = this.books.settings.startWithin(jobClass);
+        aimsOf.set(jobClass, aims);
+      }
+      const due = this.#due(job, aims, now);
+      open.push({ job, guaranteed: this.limits.guaranteed(job), due });
     }
     open.sort(
       (a, b) =>
@@ -61,113 +72,147 @@
   placeAll(now: number): JobState[] {
     this.#dropHolds();
     const queue = this.queue(now);
+    if (queue.length === 0) return [];
+    const stuck = this.#place(queue, new Rooms(this.books, leastOf(queue), now));
+    const noRoom = new Set(stuck);
+    for (const job of queue) job.stuckSince = noRoom.has(job) ? (job.stuckSince ?? now) : null;
+    this.preemption.makeRoom(stuck, now);
+    return stuck;
+  }
+
+  /**
+   * Gives room on one machine to the queue. Between two full passes nothing else has become free, so
+   * whatever is placed would be placed here by a full pass as well.
+   */
+  placeOn(m: MachineState, now: number): void {
+    if (!this.books.usable(m, now)) return;
+    const queue = this.queue(now);
+    if (queue.length > 0) this.#place(queue, new Rooms(this.books, leastOf(queue), now, m));
+  }
+
+  #place(queue: readonly JobState[], rooms: Rooms): JobState[] {
     const stuck: JobState[] = [];
+    const partners = this.#partners(queue);
     queue.forEach((job, position) => {
       if (job.spec.kind === 'gang') {
-        if (!this.#placeGang(job, now)) stuck.push(job);
+        if (!this.#placeGang(job, rooms)) stuck.push(job);
         return;
       }
-      const rest = queue.slice(position + 1);
       while (job.waiting.length > 0) {
-        if (!this.#placeEntity(job, rest, now)) {
-          stuck.push(job);
-          return;
-        }
+        if (this.#placeEntity(job, position, partners, rooms)) continue;
+        stuck.push(job);
+        return;
       }
     });
-    const noRoom = new Set(stuck);
-    for (const job of queue) job.stuckSince = noRoom.has(job) ? (job.stuckSince ?? now) : null;
-    if (this.books.settings.preempt) for (const job of stuck) this.preemption.makeRoom(job, now);
     return stuck;
   }
 
+  #partners(queue: readonly JobState[]): Partners {
+    const out = new Map<ResourceKind, { job: JobState; position: number }[]>();
+    queue.forEach((job, position) => {
+      if (job.spec.kind === 'gang') return;
+      const list = out.get(job.dominant) ?? [];
+      list.push({ job, position });
+      out.set(job.dominant, list);
+    });
+    return out;
+  }
+
+  /** The waiting task that complements the job's best, of the jobs behind it in the queue. */
+  #partner(job: JobState, position: number, partners: Partners): JobState | null {
+    const groups: TaskGroup<{ job: JobState; position: number }>[] = [];
+    for (const [kind, list] of partners) {
+      if (kind === job.dominant) continue;
+      for (const item of list) {
+        const count = item.job.waiting.length;
+        if (item.position > position) groups.push({ item, share: item.job.share, count });
+      }
+    }
+    if (groups.length === 0) return null;
+    groups.sort((a, b) => a.item.position - b.item.position);
+    return complement(job.share, groups)?.item.job ?? null;
+  }
+
   /** Places the next task of the job with its complement, or alone when the pair fits nowhere. */
-  #placeEntity(job: JobState, rest: readonly JobState[], now: number): boolean {
+  #placeEntity(job: JobState, position: number, partners: Partners, rooms: Rooms): boolean {
+    if (rooms.hopeless(job, 1)) return false;
     const room = this.limits.underLimit(job);
     if (room < 1) return false;
-    const groups: TaskGroup<JobState>[] = [];
-    for (const other of rest) {
-      if (other.spec.kind === 'gang' || other.waiting.length === 0) continue;
-      const share = shareOf(other.spec.demand, this.books.largest);
-      groups.push({ item: other, share, count: other.waiting.length });
-    }
-    const partner = complement(shareOf(job.spec.demand, this.books.largest), groups)?.item;
-    if (partner !== undefined && this.limits.underLimit(partner) >= 1) {
+    const partner = this.#partner(job, position, partners);
+    if (partner !== null && this.limits.underLimit(partner) >= 1) {
       const sameTeam = partner.spec.team === job.spec.team;
       const pairLimit = !sameTeam || room >= 2 || room === Infinity;
       const both = add(job.spec.demand, partner.spec.demand);
-      const m = pairLimit ? this.#best(job, both, now, partner) : null;
+      const m = pairLimit ? rooms.best(job, both, partner) : null;
       if (m !== null) {
-        this.#start(job, m, now);
-        this.#start(partner, m, now);
+        this.#start(job, m, rooms);
+        this.#start(partner, m, rooms);
         return true;
       }
     }
-    const m = this.#best(job, job.spec.demand, now);
-    if (m === null) return false;
-    this.#start(job, m, now);
-    return true;
-  }
-
-  #best(job: JobState, demand: Resources, now: number, partner?: JobState): MachineState | null {
-    const candidates: { name: string; free: Resources; hasImage: boolean; m: MachineState }[] = [];
-    for (const m of this.books.machines.values()) {
-      if (!fits(demand, m.free) || !allowed(this.books, m, job, now)) continue;
-      if (partner !== undefined && !allowed(this.books, m, partner, now)) continue;
-      const hasImage = m.images.has(job.spec.image);
-      candidates.push({ name: m.record.name, free: m.free, hasImage, m });
+    const m = rooms.best(job, job.spec.demand);
+    if (m === null) {
+      rooms.noRoom(job, 1);
+      return false;
     }
-    // Exception: fetching an image takes longer than the aims for starts allow, and the slot does
-    // nothing useful meanwhile. Machines that hold it come first; the volume decides among them.
-    const held = candidates.filter((c) => c.hasImage);
-    return mostMatched(held.length > 0 ? held : candidates, this.books.largest)?.m ?? null;
+    this.#start(job, m, rooms);
+    return true;
   }
 
   #start(
     job: JobState,
     m: MachineState,
-    now: number,
+    rooms: Rooms,
     attempt = this.books.nextAttempt(),
   ): Placement {
-    return this.books.place(job, job.waiting[0]!, attempt, m, now);
+    const p = this.books.place(job, job.waiting[0]!, attempt, m, rooms.now);
+    rooms.taken(m);
+    return p;
   }
 
   /** All tasks of a gang or none: each in turn on the most matched machine. */
-  #placeGang(job: JobState, now: number): boolean {
-    if (job.placed.size > 0 || this.limits.underLimit(job) < job.waiting.length) return false;
-    const attempt = this.books.nextAttempt();
-    const zones = job.spec.oneZone ? this.#zones() : [null];
-    for (const zone of zones) {
+  #placeGang(job: JobState, rooms: Rooms): boolean {
+    const tasks = job.waiting.length;
+    if (job.placed.size > 0 || rooms.hopeless(job, tasks)) return false;
+    if (this.limits.underLimit(job) < tasks) return false;
+    const zones = [...rooms.slots(job)].filter(([, slots]) => slots >= tasks);
+    zones.sort(([a], [b]) => (a < b ? -1 : 1));
+    for (const [zone] of zones) {
+      const attempt = this.books.nextAttempt();
       const placed: Placement[] = [];
+      const holds = new Map<MachineState, MachineState['hold']>();
       while (job.waiting.length > 0) {
-        const m = this.#bestInZone(job, zone, now);
+        const m = rooms.best(job, job.spec.demand, null, job.spec.oneZone ? zone : null);
         if (m === null) break;
-        placed.push(this.#start(job, m, now, attempt));
+        if (!holds.has(m)) holds.set(m, m.hold);
+        placed.push(this.#start(job, m, rooms, attempt));
       }
       if (job.waiting.length === 0) return true;
-      // Not all fit: take back what was only noted down; no order has left yet.
-      for (const p of placed) {
-        p.machine.tasks.delete(taskKey(job.spec.uid, p.index));
-        job.placed.delete(p.index);
-        job.waiting.push(p.index);
-        this.books.recount(p.machine, p.machine.idleSince);
-      }
-      job.waiting.sort((a, b) => a - b);
+      this.#takeBack(job, placed, rooms);
+      for (const [m, hold] of holds) m.hold = hold;
     }
+    rooms.noRoom(job, tasks);
     return false;
   }
 
-  #bestInZone(job: JobState, zone: string | null, now: number): MachineState | null {
-    const m = this.#best(job, job.spec.demand, now);
-    if (zone === null || m === null || m.record.zone === zone) return m;
-    const candidates = [...this.books.machines.values()]
-      .filter((c) => c.record.zone === zone && fits(job.spec.demand, c.free))
-      .filter((c) => allowed(this.books, c, job, now))
-      .map((c) => ({ name: c.record.name, free: c.free, m: c }));
-    return mostMatched(candidates, this.books.largest)?.m ?? null;
+  /** Not all fit: what was only noted down is taken back; no order has left yet. */
+  #takeBack(job: JobState, placed: readonly Placement[], rooms: Rooms): void {
+    for (const p of placed) {
+      p.machine.tasks.delete(taskKey(job.spec.uid, p.index));
+      job.placed.delete(p.index);
+      job.waiting.push(p.index);
+      this.books.recount(p.machine, p.machine.idleSince);
+      rooms.givenBack(p.machine);
+    }
+    job.waiting.sort((a, b) => a - b);
   }
+}
 
-  #zones(): string[] {
-    return [...new Set([...this.books.machines.values()].map((m) => m.record.zone))].sort();
+/** What every job of the queue asks for at least. */
+const leastOf = (queue: readonly JobState[]): Resources => {
+  const least = { ...queue[0]!.spec.demand };
+  for (const { spec } of queue) {
+    for (const k of RESOURCE_KINDS) least[k] = Math.min(least[k], spec.demand[k]);
   }
-}
+  return least;
+};
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,16 +1,66 @@
-import { HOLD_MS } from '../constants.js';
+import { HOLD_MS, ROOM_TRIES } from '../constants.js';
 import { allowed } from './allowed.js';
 import type { Books, JobState, MachineState, Placement } from './books.js';
 import type { Limits } from './limits.js';
-import { add, dominantShare, fits, type JobSpec } from './model.js';
+import { add, dominantShare, fits, timesIn, type JobSpec, type Resources } from './model.js';
 
-/** Work that is stopped to make room for work of a higher rank or within a guarantee. */
+/** A machine that could take tasks of a job, at once or after stopping others. */
+interface Option {
+  readonly m: MachineState;
+  readonly slots: number;
+  readonly victims: readonly Placement[];
+  /** seconds of the whole machine that are lost until the job runs there */
+  readonly loss: number;
+}
+
+/**
+ * Room for jobs that found none: work of a lower rank, or beyond a guarantee, is stopped, and machines
+ * are held for gangs until all their tasks fit.
+ */
 export class Preemption {
   constructor(
     private readonly books: Books,
     private readonly limits: Limits,
   ) {}
 
+  /**
+   * For the jobs that found no room, in the queue's order. At most one gang at a time collects free
+   * machines without having enough in sight: so every gang gets its machines at some time, however
+   * many smaller jobs there are, and no more than one gang's machines stand idle for it.
+   */
+  makeRoom(stuck: readonly JobState[], now: number): void {
+    let collecting: JobState | null = null;
+    let tries = 0;
+    const lowest = this.#lowestRank();
+    for (const job of stuck) {
+      if (tries >= ROOM_TRIES) break;
+      if (this.limits.underLimit(job) < 1) continue;
+      const mayStop =
+        this.books.settings.preempt && (job.rank > lowest || this.limits.guaranteed(job));
+      if (job.spec.kind !== 'gang') {
+        if (!mayStop) continue;
+        tries += 1;
+        this.#reserve(job, 1, mayStop, now);
+      } else if (job.placed.size === 0 && (mayStop || collecting === null)) {
+        tries += 1;
+        const enough = this.#reserve(job, job.waiting.length, mayStop, now);
+        if (!enough) collecting ??= job;
+      }
+    }
+    for (const m of this.books.machines.values()) {
+      if (m.hold?.partial === true && m.hold.uid !== collecting?.spec.uid) m.hold = null;
+    }
+    if (collecting !== null) this.#collect(collecting, now);
+  }
+
+  #lowestRank(): number {
+    let lowest = Infinity;
+    for (const job of this.books.jobs.values()) {
+      if (job.placed.size > 0) lowest = Math.min(lowest, job.rank);
+    }
+    return lowest;
+  }
+
   /** May `victim` be stopped for `job`: lower rank, or beyond its team's guarantee for one within. */
   #mayPreempt(job: JobState, victim: Placement): boolean {
     if (victim.job.rank < job.rank) return true;
@@ -21,32 +71,69 @@
     );
   }
 
-  /** Seconds of work lost when a task is stopped now, and the seconds until it is gone. */
+  /** Seconds of work lost when a task is stopped now; with it all of its gang stops. */
   #loss(p: Placement, now: number): number {
     const ran = p.runningSince === null ? 0 : (now - p.runningSince) / 1000;
-    const { checkpointS, saveS } = p.job.spec;
-    return checkpointS > 0 ? saveS : ran;
+    const { checkpointS, saveS, kind } = p.job.spec;
+    const tasks = kind === 'gang' ? p.job.placed.size : 1;
+    return (checkpointS > 0 ? saveS : ran) * tasks;
   }
 
-  /** Stops the least costly lower work on one machine for each task of the job that has no room. */
-  makeRoom(job: JobState, now: number): void {
-    if (this.limits.underLimit(job) < 1) return;
-    let open = job.spec.kind === 'gang' ? job.waiting.length : Math.min(job.waiting.length, 1);
-    for (const m of this.books.machines.values()) if (m.hold?.uid === job.spec.uid) open -= 1;
-    while (open > 0) {
-      let best: { m: MachineState; victims: Placement[]; loss: number } | null = null;
-      for (const m of this.books.machines.values()) {
-        if (m.hold !== null || !allowed(this.books, m, job, now)) continue;
-        const found = this.#victims(m, job, now);
-        if (found === null) continue;
-        const loss = found.loss + this.#fetchS(m, job.spec);
-        if (best === null || loss < best.loss) best = { m, victims: found.victims, loss };
-      }
-      if (best === null) return;
-      best.m.hold = { uid: job.spec.uid, until: now + HOLD_MS };
-      for (const p of best.victims) this.books.requestStop(p, p.job.spec.saveS + 1, now);
-      open -= 1;
+  /**
+   * Holds machines for so many tasks of the job, those where least is lost, and stops what is in the
+   * way. False, and nothing held anew, if there are not enough machines for it.
+   */
+  #reserve(job: JobState, tasks: number, mayStop: boolean, now: number): boolean {
+    const { uid } = job.spec;
+    const held = [...this.books.machines.values()].filter((m) => m.hold?.uid === uid);
+    const firm = held.filter((m) => m.hold?.partial !== true);
+    let open = tasks;
+    for (const m of firm) open -= timesIn(job.spec.demand, this.#freeAfterStops(m));
+    if (open <= 0) return true;
+    const zone = job.spec.oneZone ? (firm[0]?.record.zone ?? null) : null;
+    const options: Option[] = [];
+    for (const m of this.books.machines.values()) {
+      if (firm.includes(m) || (zone !== null && m.record.zone !== zone)) continue;
+      const option = allowed(this.books, m, job, now) ? this.#option(m, job, mayStop, now) : null;
+      if (option !== null) options.push(option);
+    }
+    const usable = job.spec.oneZone && zone === null ? inOneZone(options, open) : options;
+    if (usable.reduce((sum, o) => sum + o.slots, 0) < open) return false;
+    usable.sort((a, b) => a.loss - b.loss);
+    for (const o of usable) {
+      if (open <= 0) break;
+      o.m.hold = { uid, until: now + HOLD_MS, partial: false };
+      for (const p of o.victims) this.books.requestStop(p, p.job.spec.saveS + 1, now);
+      open -= o.slots;
     }
+    return true;
+  }
+
+  /** Holds what is free now for a gang that cannot have enough yet, in one zone if it must be. */
+  #collect(job: JobState, now: number): void {
+    const { uid, oneZone } = job.spec;
+    const free: Option[] = [];
+    for (const m of this.books.machines.values()) {
+      if (!allowed(this.books, m, job, now)) continue;
+      const option = this.#option(m, job, false, now);
+      if (option !== null) free.push(option);
+    }
+    const usable = oneZone ? inOneZone(free, Infinity) : free;
+    for (const m of this.books.machines.values()) {
+      if (m.hold?.uid === uid && m.hold.partial && !usable.some((o) => o.m === m)) m.hold = null;
+    }
+    let open = job.waiting.length;
+    for (const o of usable) {
+      if (open <= 0) return;
+      o.m.hold = { uid, until: now + HOLD_MS, partial: true };
+      open -= o.slots;
+    }
+  }
+
+  #freeAfterStops(m: MachineState): Resources {
+    let free = m.free;
+    for (const p of m.tasks.values()) if (p.stop !== null) free = add(free, p.job.spec.demand);
+    return free;
   }
 
   /** Seconds until the machine has the job's image. */
@@ -54,19 +141,21 @@
     return m.images.has(spec.image) ? 0 : spec.imageGb / (m.type?.fetchGbPerS ?? 1);
   }
 
-  #victims(
-    m: MachineState,
-    job: JobState,
-    now: number,
-  ): { victims: Placement[]; loss: number } | null {
+  #option(m: MachineState, job: JobState, mayStop: boolean, now: number): Option | null {
+    const { demand } = job.spec;
+    const fetchS = this.#fetchS(m, job.spec);
+    if (fits(demand, m.free)) {
+      return { m, slots: timesIn(demand, m.free), victims: [], loss: fetchS };
+    }
+    if (!mayStop) return null;
     let free = m.free;
-    let loss = 0;
+    let loss = fetchS;
     const victims: Placement[] = [];
-    const options = [...m.tasks.values()]
+    const candidates = [...m.tasks.values()]
       .filter((p) => this.#mayPreempt(job, p))
       .sort((a, b) => this.#loss(a, now) - this.#loss(b, now));
-    for (const p of options) {
-      if (fits(job.spec.demand, free)) break;
+    for (const p of candidates) {
+      if (fits(demand, free)) break;
       free = add(free, p.job.spec.demand);
       if (p.stop === null) {
         victims.push(p);
@@ -74,6 +163,24 @@
         loss += this.#loss(p, now) * dominantShare(p.job.spec.demand, m.type ?? this.books.largest);
       }
     }
-    return fits(job.spec.demand, free) ? { victims, loss } : null;
+    return fits(demand, free) ? { m, slots: 1, victims, loss } : null;
   }
 }
+
+/** The options of the zone with most slots; of zones with enough, the one with the least loss. */
+const inOneZone = (options: readonly Option[], needed: number): Option[] => {
+  const zones = new Map<string, { options: Option[]; slots: number; loss: number }>();
+  for (const o of options) {
+    const z = zones.get(o.m.record.zone) ?? { options: [], slots: 0, loss: 0 };
+    z.options.push(o);
+    z.slots += o.slots;
+    z.loss += o.loss;
+    zones.set(o.m.record.zone, z);
+  }
+  const ranked = [...zones].sort(([nameA, a], [nameB, b]) => {
+    const enough = Number(b.slots >= needed) - Number(a.slots >= needed);
+    const mean = a.loss / a.options.length - b.loss / b.options.length;
+    return enough || (a.slots >= needed ? mean : b.slots - a.slots) || (nameA < nameB ? -1 : 1);
+  });
+  return ranked[0]?.[1].options ?? [];
+};
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,4 +1,4 @@
-import { AVOID_MS, FULL_PAUSE_MS, JOB_PAUSE_S, SICK_JOBS } from '../constants.js';
+import { AVOID_MS, FULL_PAUSE_MS, IGNORED_ORDERS, JOB_PAUSE_S, SICK_JOBS } from '../constants.js';
 import {
   neverSent,
   taskKey,
@@ -15,7 +15,10 @@
 
   observe(m: MachineState, report: Report, now: number, direct = false): void {
     if (report.session > m.session && m.session > 0) {
-      // The worker's lease ran out: it killed everything it had.
+      // The worker's lease ran out: it killed everything it had. If that happened although we have
+      // answered all the time, our answers do not arrive.
+      const answered = m.known && now - m.answeredAt < this.books.settings.leaseMs / 2;
+      if (answered && now - m.knownSince > this.books.settings.leaseMs) this.#unheard(m, now);
       for (const p of [...m.tasks.values()]) this.books.release(p, now);
       m.doubtful.clear();
     }
@@ -28,17 +31,22 @@
     const complete = report.token === this.books.term;
     if (complete) {
       // Whoever renewed this worker's lease under a lower term did so before it saw our token.
-      if (!m.known) m.answeredAt = Math.max(m.answeredAt, now);
+      if (!m.known) {
+        m.answeredAt = Math.max(m.answeredAt, now);
+        m.knownSince = now;
+      }
       m.known = true;
       m.everKnown = true;
       m.firstKnownAt ??= now;
     }
+    if (direct) this.#heard(m);
     const listed = new Set<string>();
     m.foreign = 0;
     for (const t of report.tasks) {
       listed.add(`${t.uid}/${t.index}@${t.attempt}`);
       this.#observeTask(m, t, now, complete);
     }
+    m.foreignSince = m.foreign === 0 ? null : (m.foreignSince ?? now);
     if (!complete) return;
     for (const p of [...m.tasks.values()]) {
       if (listed.has(`${p.job.spec.uid}/${p.index}@${p.attempt}`)) continue;
@@ -47,6 +55,7 @@
         // One report is in flight at a time: this one left after the answer with the start was
         // taken or given up, and the task is not here. The start is lost and may be given again.
         p.sentCounter = null;
+        this.#unheard(m, now);
         if (!p.direct && (p.stop !== null || p.job.over)) this.books.release(p, now);
       }
     }
@@ -79,6 +88,8 @@
       p = this.books.place(job, t.index, t.attempt, m, now, 'adopted');
       p.seen = true;
     }
+    // An order has had its effect: what we say arrives.
+    if (!p.seen) this.#heard(m);
     p.seen = true;
     const before = p.state;
     p.state = t.state;
@@ -89,6 +100,20 @@
     } else if (t.state === 'waiting') this.#noteImage(m, p.job.spec);
   }
 
+  /** One lost answer is nothing; several in a row mean that none arrives. */
+  #unheard(m: MachineState, now: number): void {
+    m.ignored += 1;
+    if (m.ignored < IGNORED_ORDERS) return;
+    m.deafSince ??= now;
+    // Nothing more is to be started there; what never left us goes elsewhere.
+    for (const p of [...m.tasks.values()]) if (neverSent(p)) this.books.release(p, now);
+  }
+
+  #heard(m: MachineState): void {
+    m.ignored = 0;
+    m.deafSince = null;
+  }
+
   #noteImage(m: MachineState, spec: JobSpec): void {
     m.images.delete(spec.image);
     m.images.set(spec.image, spec.imageGb);
--- /dev/null
+++ b/src/core/rooms.ts
@@ -0,0 +1,119 @@
+import { EQUAL_VOLUME } from '../constants.js';
+import { allowedOn } from './allowed.js';
+import type { Books, JobState, MachineState } from './books.js';
+import { fits, timesIn, type Resources } from './model.js';
+import { unusedVolume } from './placement.js';
+
+/**
+ * The machines that could take anything of a queue, for one pass over it. The choice among them is
+ * the same as among all machines: those left out could take nothing. What a job could not get, a job
+ * of the same kind that asks for no less cannot get later in the pass, since room only shrinks.
+ */
+export class Rooms {
+  readonly #rooms: MachineState[];
+  readonly #held = new Set<string>();
+  readonly #failed = new Map<string, { demand: Resources; tasks: number }[]>();
+
+  constructor(
+    private readonly books: Books,
+    private readonly least: Resources,
+    readonly now: number,
+    /** one machine only: what else had room was offered to the queue before */
+    only: MachineState | null = null,
+  ) {
+    const machines = only === null ? books.machines.values() : [only];
+    this.#rooms = [];
+    for (const m of machines) {
+      if (!fits(least, m.free) || !books.usable(m, now)) continue;
+      this.#rooms.push(m);
+      if (m.hold !== null) this.#held.add(m.hold.uid);
+    }
+  }
+
+  get empty(): boolean {
+    return this.#rooms.length === 0;
+  }
+
+  /** Everything about a job, besides its size, that decides where it may go. */
+  #kind(job: JobState): string {
+    const { types, zone, spot, oneZone, spread } = job.spec;
+    const gang = job.spec.kind === 'gang';
+    return `${types?.join() ?? '*'} ${zone ?? '*'} ${spot} ${oneZone} ${spread} ${gang}`;
+  }
+
+  /** True if the pass has shown already that there is no room for the job. */
+  hopeless(job: JobState, tasks: number): boolean {
+    if (this.#rooms.length === 0) return true;
+    if (this.#held.has(job.spec.uid)) return false;
+    const failed = this.#failed.get(this.#kind(job));
+    const { demand } = job.spec;
+    return failed?.some((f) => f.tasks <= tasks && fits(f.demand, demand)) ?? false;
+  }
+
+  /** Notes that the job found no room, for reasons that hold for others as well. */
+  noRoom(job: JobState, tasks: number): void {
+    if (job.avoid.size > 0 || job.placed.size > 0) return;
+    const kind = this.#kind(job);
+    const list = this.#failed.get(kind) ?? [];
+    list.push({ demand: job.spec.demand, tasks });
+    this.#failed.set(kind, list);
+  }
+
+  /** How many tasks of the job fit in all, zone by zone if it must be one. */
+  slots(job: JobState): Map<string, number> {
+    const out = new Map<string, number>();
+    for (const m of this.#rooms) {
+      if (!fits(job.spec.demand, m.free) || !allowedOn(m, job, this.now)) continue;
+      const zone = job.spec.oneZone ? m.record.zone : '';
+      out.set(zone, (out.get(zone) ?? 0) + timesIn(job.spec.demand, m.free));
+    }
+    return out;
+  }
+
+  /**
+   * The most matched machine for the demand: least unused volume, then the name. Exception: fetching
+   * an image takes longer than the aims for starts allow, and the slot does nothing useful meanwhile.
+   * Machines that hold it come first; the volume decides among them.
+   */
+  best(
+    job: JobState,
+    demand: Resources,
+    partner: JobState | null = null,
+    zone: string | null = null,
+  ): MachineState | null {
+    const { image } = job.spec;
+    let best: MachineState | null = null;
+    let bestVolume = Infinity;
+    let bestHeld = false;
+    for (const m of this.#rooms) {
+      if (zone !== null && m.record.zone !== zone) continue;
+      if (!fits(demand, m.free) || !allowedOn(m, job, this.now)) continue;
+      if (partner !== null && !allowedOn(m, partner, this.now)) continue;
+      const held = m.images.has(image);
+      if (bestHeld && !held) continue;
+      const volume = unusedVolume(m.free, this.books.largest);
+      const better =
+        best === null ||
+        (held && !bestHeld) ||
+        volume < bestVolume - EQUAL_VOLUME ||
+        (volume <= bestVolume + EQUAL_VOLUME && m.record.name < best.record.name);
+      if (!better) continue;
+      best = m;
+      bestVolume = volume;
+      bestHeld = held;
+    }
+    return best;
+  }
+
+  /** After something was placed on the machine. */
+  taken(m: MachineState): void {
+    if (fits(this.least, m.free)) return;
+    const at = this.#rooms.indexOf(m);
+    if (at >= 0) this.#rooms.splice(at, 1);
+  }
+
+  /** After something was taken back from the machine. */
+  givenBack(m: MachineState): void {
+    if (!this.#rooms.includes(m)) this.#rooms.push(m);
+  }
+}
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -110,6 +110,11 @@
     return alive;
   }
 
+  /** Nodes with a living lease. */
+  aliveNodes(): number {
+    return this.#alive().size;
+  }
+
   /** One round: what is owned by the mirror, what should be, and the owned parts' own loops. */
   tick(): void {
     const now = this.now();
@@ -159,6 +164,7 @@
         const part = new Part(index, record.value.term, {
           reportMs: this.config.workers.reportS * 1000,
           leaseMs: this.config.workers.leaseS * 1000,
+          cancelMs: this.config.workers.cancelS * 1000,
           teams: this.config.teams,
           types,
           preempt: this.operator.preempt,
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -18,6 +18,8 @@
   incarnation: string;
   sentAt: number;
   hasState: boolean;
+  /** whether progress of jobs and images are in this message; they are left out of most */
+  detailed: boolean;
   parts: {
     part: number;
     load: number;
@@ -46,13 +48,13 @@
 
 const Status = protobuf.parse(protoFile()).root.lookupType('sumacstep.Status');
 
-/** Status objects in, length-delimited bytes out. */
+/** Status objects in, length-delimited bytes out, a buffer a status: encoded once for all peers. */
 export class StatusEncoder extends Transform {
   constructor() {
-    super({ writableObjectMode: true });
+    super({ writableObjectMode: true, readableObjectMode: true });
   }
   override _transform(status: PeerStatus, _: BufferEncoding, done: TransformCallback): void {
-    done(null, Status.encodeDelimited(Status.fromObject(status)).finish());
+    done(null, Buffer.from(Status.encodeDelimited(Status.fromObject(status)).finish()));
   }
 }
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,7 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { pipeline } from 'node:stream';
+import { finished, pipeline } from 'node:stream';
 import type { Logger } from 'pino';
-import { GOSSIP_MS, PEER_FRESH_MS } from '../constants.js';
+import { DETAIL_EVERY, GOSSIP_MS, PEER_FRESH_MS } from '../constants.js';
 import { StatusDecoder, StatusEncoder, type PeerStatus } from './frames.js';
 
 export interface Peer {
@@ -16,10 +16,25 @@
   readonly echoed: number;
 }
 
+/** What a node says of itself; the rest of a status is the talk's own matter. */
+export type OwnStatus = Omit<PeerStatus, 'node' | 'sentAt' | 'echoes' | 'detailed'>;
+
+/** A short status with the details of the last long one. */
+const withDetails = (status: PeerStatus, last: PeerStatus): PeerStatus => ({
+  ...status,
+  jobs: last.jobs,
+  parts: status.parts.map((p) => ({
+    ...p,
+    images: last.parts.find((x) => x.part === p.part)?.images ?? [],
+  })),
+});
+
 /** Sends this node's status to every peer and keeps the newest status of each. */
 export class Gossip {
   readonly #heard = new Map<string, Heard>();
-  readonly #out = new Map<string, StatusEncoder>();
+  readonly #out = new Map<string, Socket>();
+  readonly #encoder = new StatusEncoder();
+  #ticks = 0;
   readonly #sockets = new Set<Socket>();
   #server: Server | null = null;
   #timer: NodeJS.Timeout | null = null;
@@ -27,10 +42,12 @@
   constructor(
     private readonly me: string,
     private readonly peers: readonly Peer[],
-    private readonly status: () => Omit<PeerStatus, 'node' | 'sentAt' | 'echoes'>,
+    private readonly status: (detailed: boolean) => OwnStatus,
     private readonly now: () => number,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.#encoder.on('data', (bytes: Buffer) => this.#send(bytes));
+  }
 
   listen(address: string): Promise<void> {
     const [host, port] = split(address);
@@ -55,33 +72,41 @@
     const sameLife = known?.status.incarnation === status.incarnation;
     if (sameLife && known.status.sentAt >= status.sentAt) return;
     const echoed = status.echoes.find((e) => e.node === this.me)?.sentAt ?? -Infinity;
-    this.#heard.set(status.node, { status, at: this.now(), echoed });
+    const whole = status.detailed || !sameLife ? status : withDetails(status, known.status);
+    this.#heard.set(status.node, { status: whole, at: this.now(), echoed });
   }
 
   #tick(): void {
     const echoes = [...this.#heard].map(([node, h]) => ({ node, sentAt: h.status.sentAt }));
-    const status: PeerStatus = { node: this.me, sentAt: this.now(), echoes, ...this.status() };
+    const detailed = this.#ticks % DETAIL_EVERY === 0;
+    this.#ticks += 1;
+    const status = this.status(detailed);
+    this.#encoder.write({ node: this.me, sentAt: this.now(), detailed, echoes, ...status });
+  }
+
+  /** The same bytes go to every peer; one that does not take them gets none added to the pile. */
+  #send(bytes: Buffer): void {
     for (const peer of this.peers) {
       const out = this.#out.get(peer.node) ?? this.#dial(peer);
-      // A peer that does not take its messages gets none added to the pile.
-      if (!out.writableNeedDrain) out.write(status);
+      if (!out.writableNeedDrain) out.write(bytes);
     }
   }
 
-  #dial(peer: Peer): StatusEncoder {
+  #dial(peer: Peer): Socket {
     const [host, port] = split(peer.address);
-    const encoder = new StatusEncoder();
     const socket = connect(port, host);
     socket.setTimeout(GOSSIP_MS * 5, () => socket.destroy());
+    socket.setNoDelay(true);
     this.#sockets.add(socket);
-    this.#out.set(peer.node, encoder);
+    this.#out.set(peer.node, socket);
     socket.resume();
-    pipeline(encoder, socket, (error) => {
+    finished(socket, (error) => {
       this.#sockets.delete(socket);
-      if (this.#out.get(peer.node) === encoder) this.#out.delete(peer.node);
+      if (this.#out.get(peer.node) === socket) this.#out.delete(peer.node);
+      socket.destroy();
       if (error) this.log.debug({ peer: peer.node, error: error.message }, 'peer connection ended');
     });
-    return encoder;
+    return socket;
   }
 
   /** Peers with word from them that is newer than `PEER_FRESH_MS`, proven by their echo of ours. */
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -64,7 +64,8 @@
       }
       this.#hires(index, owned);
     }
-    if (now - this.#lastList > LIST_MS && this.keeper.owned.size > 0) void this.#list();
+    const listMs = Math.max(LIST_MS, this.cloud.listEveryMs());
+    if (now - this.#lastList > listMs && this.keeper.owned.size > 0) void this.#list();
     if (now - this.#lastPlan < RENT_MS) return;
     this.#lastPlan = now;
     for (const [index, owned] of this.keeper.owned) {
--- a/src/service.ts
+++ b/src/service.ts
@@ -8,6 +8,7 @@
 import type { OperatorConfig } from './config/operator.js';
 import type { PlatformConfig } from './config/platform.js';
 import {
+  CUT_OFF_MS,
   FEED_SHARE,
   FOLLOW_PAUSE_MS,
   LOOP_MS,
@@ -25,7 +26,7 @@
 import { Learning } from './core/learning.js';
 import { fits, timesIn, type JobSpec, type MachineType, type Report } from './core/model.js';
 import { Keeper, type PeerView } from './keeper.js';
-import { Gossip } from './peers/gossip.js';
+import { Gossip, type OwnStatus } from './peers/gossip.js';
 import type { PeerStatus, RoomStatus } from './peers/frames.js';
 import { randomFrom } from './random.js';
 import { Rentals } from './rentals.js';
@@ -58,6 +59,11 @@
   #types: ReadonlyMap<string, MachineType> | null = null;
   #soon: NodeJS.Timeout | null = null;
   #aloneSince: number | null = null;
+  #cutOffSince: number | null = null;
+  /** nodes among which the limits are shared */
+  #sharing: number;
+  /** the mirror's version whose jobs are learned from */
+  #learned = -1;
   #server: Server | null = null;
 
   constructor(
@@ -69,6 +75,7 @@
     this.#random = randomFrom(seed);
     this.#incarnation = `${timeOfDayMs().toString(36)}${this.#random(2 ** 30).toString(36)}`;
     const { rps, writeRps } = config.stateLimits;
+    this.#sharing = config.nodes;
     this.#state = new StateClient(
       config.state,
       {
@@ -81,7 +88,13 @@
     const cloudRps = (config.cloudLimits.rps * operator.cloudRequestShare) / config.nodes;
     this.#cloud = new CloudClient(config.cloud, cloudRps, this.#now);
     this.#lease = new NodeLease(this.#state, config.node, this.#incarnation, this.#now, log);
-    this.#gossip = new Gossip(config.node, config.peers, () => this.#status(), this.#now, log);
+    this.#gossip = new Gossip(
+      config.node,
+      config.peers,
+      (detailed) => this.#status(detailed),
+      this.#now,
+      log,
+    );
     this.#keeper = new Keeper(
       config,
       operator,
@@ -222,13 +235,8 @@
 
   #tick(): void {
     this.#noteAlone();
-    const nowS = timeOfDayMs() / 1000;
-    for (const { value } of this.#mirror.tables['active/'].values()) {
-      this.#learning.arrived(value.spec, Math.min(nowS, value.at / 1000));
-    }
-    for (const status of this.#gossip.heard()) {
-      for (const c of status.classes) this.#learning.adopt(c.jobClass, c.runS, c.finished);
-    }
+    this.#shareLimits();
+    this.#learn();
     this.#keeper.tick();
     for (const [index, { part }] of this.#keeper.owned) {
       for (const run of part.finishedRuns.splice(0)) this.#learning.ran(run.jobClass, run.runS);
@@ -239,6 +247,34 @@
     this.#rentals.tick();
   }
 
+  /** The limits of state service and cloud are for all nodes together: those that live share them. */
+  #shareLimits(): void {
+    const alive = this.#mirror.ready ? this.#keeper.aliveNodes() : this.config.nodes;
+    const nodes = Math.min(this.config.nodes, Math.max(1, alive));
+    if (nodes === this.#sharing) return;
+    this.#sharing = nodes;
+    const { rps, writeRps } = this.config.stateLimits;
+    const { stateRequestShare, stateWriteShare, cloudRequestShare } = this.operator;
+    this.#state.setLimits({
+      rps: (rps * stateRequestShare) / nodes,
+      writeRps: (writeRps * stateWriteShare) / nodes,
+    });
+    this.#cloud.setRate((this.config.cloudLimits.rps * cloudRequestShare) / nodes);
+  }
+
+  /** Arrivals, when there are new ones, and what other nodes have learned of run times. */
+  #learn(): void {
+    if (this.#learned === this.#mirror.version) return;
+    this.#learned = this.#mirror.version;
+    const nowS = timeOfDayMs() / 1000;
+    for (const { value } of this.#mirror.tables['active/'].values()) {
+      this.#learning.arrived(value.spec, Math.min(nowS, value.at / 1000));
+    }
+    for (const status of this.#gossip.heard()) {
+      for (const c of status.classes) this.#learning.adopt(c.jobClass, c.runS, c.finished);
+    }
+  }
+
   #beat(report: Report): BeatReply {
     const reply = this.#keeper.beat(report);
     if (reply.kind === 'unavailable') this.#rentals.sighted(report);
@@ -252,13 +288,18 @@
    */
   #ready(): boolean {
     if (!this.#mirror.ready || this.#types === null) return false;
-    return this.#aloneSince === null || this.#now() - this.#aloneSince < READY_GRACE_MS;
+    const now = this.#now();
+    if (this.#cutOffSince !== null && now - this.#cutOffSince >= CUT_OFF_MS) return false;
+    return this.#aloneSince === null || now - this.#aloneSince < READY_GRACE_MS;
   }
 
-  /** Notes since when this node alone has been without state. */
+  /** Notes since when this node alone has been without state, or without state and anybody else. */
   #noteAlone(): void {
-    const alone = !this.#state.up && this.#peerWithState() !== null;
+    const { up } = this.#state;
+    const alone = !up && this.#peerWithState() !== null;
     this.#aloneSince = alone ? (this.#aloneSince ?? this.#now()) : null;
+    const cutOff = !up && this.config.peers.length > 0 && this.#gossip.fresh().length === 0;
+    this.#cutOffSince = cutOff ? (this.#cutOffSince ?? this.#now()) : null;
   }
 
   // --- aims --------------------------------------------------------------------------------------
@@ -307,7 +348,7 @@
     };
   }
 
-  #status(): Omit<PeerStatus, 'node' | 'sentAt' | 'echoes'> {
+  #status(detailed: boolean): OwnStatus {
     const now = this.#now();
     const sightings = new Map<number, number>();
     for (const [machine, s] of this.#keeper.sighted) {
@@ -318,7 +359,7 @@
     const parts: PeerStatus['parts'] = [];
     for (const [index, { part }] of this.#keeper.owned) {
       const rooms = this.#rooms(index);
-      const images = [...part.machines.values()]
+      const images = [...(detailed ? part.machines.values() : [])]
         .filter((m) => m.images.size > 0)
         .map((m) => ({
           machine: m.record.name,
@@ -327,7 +368,7 @@
         }));
       const load = part.load(now);
       parts.push({ part: index, load, rooms, waiting: part.waiting(), images });
-      for (const job of part.jobs.values()) {
+      for (const job of detailed ? part.jobs.values() : []) {
         const done = job.saved.size + job.unsaved.size;
         const running = [...job.placed.values()].filter((p) => p.state === 'running').length;
         if (done + running > 0) jobs.push({ uid: job.spec.uid, running, done, part: index });
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -8,6 +8,7 @@
   incarnation: 'a',
   sentAt: 12.5,
   hasState: true,
+  detailed: true,
   parts: [
     {
       part: 1,
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -58,6 +58,7 @@
 export const settings = (over: Partial<PartSettings> = {}): PartSettings => ({
   reportMs: 3000,
   leaseMs: LEASE_MS,
+  cancelMs: 38_000,
   teams: new Map<string, Team>([
     ['t', { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }],
     ['limited', { name: 'limited', cpus: 0, gpus: 0, cpusMax: 8, gpusMax: 0 }],
