--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,7 +27,7 @@
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 80;
+export const SOON_MS = 120;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
@@ -108,7 +108,7 @@
 /** ms; gossip interval between nodes. */
 export const GOSSIP_MS = 1000;
 /** messages; one in so many carries what is large and changes slowly. */
-export const DETAIL_EVERY = 4;
+export const DETAIL_EVERY = 8;
 /** ms; a peer not heard for this long counts as unreachable. */
 export const PEER_FRESH_MS = 3500;
 /** bytes; a gossip message is a few KiB, so a longer frame is an error of the sender. */
--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -5,6 +5,7 @@
   LOST_REPORTS,
   ORDER_UNSENT_MS,
   PASS_AGAIN_MS,
+  ROUNDING,
   SILENT_REPORTS,
   STOP_PATIENCE,
   WORKER_LEASE_MARGIN_MS,
@@ -132,6 +133,12 @@
   readonly startWithin: (jobClass: string) => readonly number[];
 }
 
+/** What has changed in the state service since the last look. */
+export interface Changes {
+  readonly jobs: ReadonlySet<string>;
+  readonly machines: boolean;
+}
+
 /** What the state service says about this part. */
 export interface PartView {
   readonly jobs: ReadonlyMap<string, { readonly value: JobRecord }>;
@@ -176,6 +183,8 @@
   finishedRuns: FinishedRun[] = [];
   /** returned machines whose record is not dropped yet */
   readonly gone = new Set<string>();
+  /** jobs whose change could not be taken in yet */
+  readonly unsynced = new Set<string>();
   largest: Resources;
   attempts = 0;
 
@@ -189,8 +198,26 @@
 
   // --- wanted state in ---------------------------------------------------------------------------
 
-  /** Takes over what the state service says: jobs and machines come and go. */
-  sync(view: PartView, now: number, nowOfDay = 0): void {
+  /**
+   * Takes over what the state service says: jobs and machines come and go. With `changes` only what
+   * has changed since the last time is looked at.
+   */
+  sync(view: PartView, now: number, nowOfDay = 0, changes: Changes | null = null): void {
+    if (changes === null || changes.machines) this.#syncMachines(view, now);
+    const uids = new Set(changes?.jobs ?? [...this.jobs.keys(), ...view.jobs.keys()]);
+    for (const uid of this.unsynced) uids.add(uid);
+    this.unsynced.clear();
+    for (const uid of uids) {
+      const record = view.jobs.get(uid)?.value;
+      if (record !== undefined) this.#syncJob(record, view, now, nowOfDay);
+      const job = this.jobs.get(uid);
+      if (job === undefined || (record?.ranges.some((r) => r.part === this.index) ?? false))
+        continue;
+      this.#endJob(job, now);
+    }
+  }
+
+  #syncMachines(view: PartView, now: number): void {
     for (const { value: record } of view.machines.values()) {
       if (record.part !== this.index) continue;
       const known = this.machines.get(record.name);
@@ -201,13 +228,6 @@
       const record = view.machines.get(m.record.name)?.value;
       if (record === undefined || record.part !== this.index) this.machineGone(m.record.name, now);
     }
-    for (const { value: record } of view.jobs.values()) this.#syncJob(record, view, now, nowOfDay);
-    for (const job of [...this.jobs.values()]) {
-      const record = view.jobs.get(job.spec.uid)?.value;
-      if (record === undefined || !record.ranges.some((r) => r.part === this.index)) {
-        this.#endJob(job, now);
-      }
-    }
   }
 
   #addMachine(record: MachineRecord, now: number): void {
@@ -249,7 +269,10 @@
   #syncJob(record: JobRecord, view: PartView, now: number, nowOfDay: number): void {
     const spec = record.spec;
     let job = this.jobs.get(spec.uid);
-    if (job !== undefined && job.passing.length > 0) return;
+    if (job !== undefined && job.passing.length > 0) {
+      this.unsynced.add(spec.uid);
+      return;
+    }
     for (const range of record.ranges) {
       if (range.part !== this.index || (job !== undefined && job.own.has(range.from))) continue;
       job ??= {
@@ -520,7 +543,11 @@
 
   /** Machines that could take a task now, for the routing of other nodes. */
   rooms(now: number): MachineState[] {
-    return [...this.machines.values()].filter((m) => this.usable(m, now) && m.hold === null);
+    // Every task takes some CPU and memory, so a machine without either has no room.
+    const room = (m: MachineState) => m.free.cpus > ROUNDING && m.free.memoryGb > ROUNDING;
+    return [...this.machines.values()].filter(
+      (m) => room(m) && this.usable(m, now) && m.hold === null,
+    );
   }
 
   // --- placements --------------------------------------------------------------------------------
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -155,23 +155,53 @@
 
 const inUse = (m: MachineState): boolean => m.tasks.size > 0 || m.foreign > 0;
 
-/** Room for tasks of a job on machines that are there or asked for, whatever runs on them now. */
-const roomFor = (job: JobState, staying: readonly MachineState[], input: CapacityInput): number => {
+/** Machines that are there or asked for, by kind: type, zone, spot or not. */
+interface Kind {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  count: number;
+}
+const kindsOf = (staying: readonly MachineState[], input: CapacityInput): Map<string, Kind> => {
+  const kinds = new Map<string, Kind>();
+  const note = (name: string, zone: string, spot: boolean, count: number) => {
+    const type = input.types.get(name);
+    if (type === undefined) return;
+    const key = `${name} ${zone} ${spot}`;
+    const kind = kinds.get(key) ?? { type, zone, spot, count: 0 };
+    kind.count += count;
+    kinds.set(key, kind);
+  };
+  for (const m of staying) note(m.record.type, m.record.zone, m.record.spot, 1);
+  for (const p of input.pending) note(p.type, p.zone, p.spot, p.count);
+  return kinds;
+};
+
+/** Room for tasks of a job on those machines, whatever runs on them now. */
+const roomFor = (
+  job: JobState,
+  kinds: ReadonlyMap<string, Kind>,
+  staying: readonly MachineState[],
+  now: number,
+): number => {
   const { spec } = job;
+  const avoided = new Map<string, number>();
+  if (job.avoid.size > 0) {
+    for (const m of staying) {
+      if ((job.avoid.get(m.record.name) ?? -Infinity) <= now) continue;
+      const key = `${m.record.type} ${m.record.zone} ${m.record.spot}`;
+      avoided.set(key, (avoided.get(key) ?? 0) + 1);
+    }
+  }
   const byZone = new Map<string, number>();
-  const note = (typeName: string, zone: string, spot: boolean, count: number) => {
-    const type = input.types.get(typeName);
-    if (type === undefined || (spot && !spec.spot)) return;
-    if (spec.types !== null && !spec.types.includes(typeName)) return;
-    if (spec.zone !== null && spec.zone !== zone) return;
-    const key = spec.oneZone ? zone : '';
-    byZone.set(key, (byZone.get(key) ?? 0) + timesIn(spec.demand, type) * count);
-  };
-  for (const m of staying) {
-    if ((job.avoid.get(m.record.name) ?? -Infinity) > input.now) continue;
-    note(m.record.type, m.record.zone, m.record.spot, 1);
+  for (const [key, { type, zone, spot, count }] of kinds) {
+    if (spot && !spec.spot) continue;
+    if (spec.types !== null && !spec.types.includes(type.name)) continue;
+    if (spec.zone !== null && spec.zone !== zone) continue;
+    const at = spec.oneZone ? zone : '';
+    const usable = count - (avoided.get(key) ?? 0);
+    byZone.set(at, (byZone.get(at) ?? 0) + timesIn(spec.demand, type) * usable);
   }
-  for (const p of input.pending) note(p.type, p.zone, p.spot, p.count);
   return Math.max(0, ...byZone.values());
 };
 
@@ -256,11 +286,13 @@
   }
 
   // However little work it is: a job that no machine could ever take gets one that can.
+  const kinds = kindsOf(staying, input);
   for (const job of part.jobs.values()) {
-    if (job.over || job.waiting.length === 0 || rent.length > 0) continue;
+    if (rent.length > 0) break;
+    if (job.over || job.waiting.length === 0) continue;
     const { spec } = job;
     const needed = spec.kind === 'gang' ? job.waiting.length + job.placed.size : 1;
-    const missing = needed - roomFor(job, staying, input);
+    const missing = needed - roomFor(job, kinds, staying, now);
     const type = cheapest(spec, input.types.values());
     if (missing <= 0 || type === null) continue;
     const count = Math.ceil(missing / Math.max(1, timesIn(spec.demand, type)));
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -1,6 +1,7 @@
 import type { JobRecord, Command, Report, TaskRange } from './model.js';
 import {
   Books,
+  type Changes,
   type FinishedRun,
   type JobState,
   type MachineState,
@@ -108,8 +109,8 @@
   get preempts(): boolean {
     return this.books.settings.preempt;
   }
-  sync(view: PartView, now: number, nowOfDay = 0): void {
-    this.books.sync(view, now, nowOfDay);
+  sync(view: PartView, now: number, nowOfDay = 0, changes: Changes | null = null): void {
+    this.books.sync(view, now, nowOfDay, changes);
   }
   saved(uid: string, indexes: Iterable<number>): void {
     this.books.saved(uid, indexes);
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
 import type { PlatformConfig } from './config/platform.js';
 import type { OperatorConfig } from './config/operator.js';
-import { CLAIM_PAUSE_MS, DEAF_MS, HANDBACK_MS, HANDOVER_SETTLE_MS } from './constants.js';
+import { CLAIM_PAUSE_MS, DEAF_MS, HANDBACK_MS, HANDOVER_SETTLE_MS, LOOP_MS } from './constants.js';
 import { Completions } from './completions.js';
 import type { Command, JobSpec, MachineType, Report } from './core/model.js';
 import { Ownership, type OwnershipView } from './core/ownership.js';
@@ -23,8 +23,8 @@
   saving: boolean;
   lastSave: number;
   lastProgress: number;
-  /** the mirror's version that the part has taken in */
-  synced: number;
+  /** built just now: it has to take in everything once */
+  fresh: boolean;
   readonly claiming: Set<string>;
 }
 
@@ -54,6 +54,7 @@
   /** workers of other nodes' parts that came here, with the time */
   readonly sighted = new Map<string, { part: number; at: number }>();
   #deafUntil = -Infinity;
+  #lastOwn = -Infinity;
   readonly machines: MachineRecords;
   readonly #completions: Completions;
   readonly #passing: Passing;
@@ -121,7 +122,10 @@
     if (!this.mirror.ready) return;
     this.#refresh(now);
     const authority = this.authority(now);
-    if (authority) this.#ownParts(now);
+    if (authority && now - this.#lastOwn >= LOOP_MS) {
+      this.#lastOwn = now;
+      this.#ownParts(now);
+    }
     for (const [index, owned] of this.owned) {
       const { part } = owned;
       if (owned.suspended) continue;
@@ -137,6 +141,7 @@
 
   #refresh(now: number): void {
     const types = this.types();
+    const changes = this.mirror.takeChanges();
     for (let index = 0; index < this.config.nodes; index++) {
       const record = this.mirror.tables['parts/'].get(String(index));
       const mine =
@@ -178,14 +183,21 @@
           saving: false,
           lastSave: now,
           lastProgress: now,
-          synced: -1,
+          fresh: true,
           claiming: new Set(),
         });
         this.log.info({ part: index, term: part.term }, 'part owned');
       }
       const present = this.owned.get(index)!;
-      if (present.suspended || present.synced === this.mirror.version) continue;
-      present.synced = this.mirror.version;
+      if (present.suspended) {
+        present.fresh = true;
+        continue;
+      }
+      const everything = present.fresh || changes.all;
+      const { unsynced } = present.part.books;
+      const changed = changes.machines || changes.jobs.size > 0 || unsynced.size > 0;
+      if (!everything && !changed) continue;
+      present.fresh = false;
       present.part.sync(
         {
           jobs: this.mirror.tables['active/'],
@@ -194,6 +206,7 @@
         },
         now,
         this.nowOfDay(),
+        everything ? null : changes,
       );
     }
   }
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -11,6 +11,9 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** machines that are alike */
+  count: number;
+  /** images that any of them holds */
   images: string[];
 }
 export interface PeerStatus {
--- a/src/service.ts
+++ b/src/service.ts
@@ -58,6 +58,8 @@
   readonly #accepts = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000 });
   #types: ReadonlyMap<string, MachineType> | null = null;
   #soon: NodeJS.Timeout | null = null;
+  /** when the loop runs next */
+  #soonAt = Infinity;
   #aloneSince: number | null = null;
   #cutOffSince: number | null = null;
   /** nodes among which the limits are shared */
@@ -146,7 +148,7 @@
     this.#background('lease', this.#lease.run());
     this.#background('feed', this.#follow());
     this.#background('machine types', this.#loadTypes());
-    this.#timers.push(setInterval(() => this.#tick(), LOOP_MS));
+    this.#tickIn(LOOP_MS);
     this.#timers.push(setInterval(() => this.#summary(), SUMMARY_MS));
     this.log.info({ listen: this.config.listen, incarnation: this.#incarnation }, 'started');
   }
@@ -226,14 +228,21 @@
 
   // --- loops -------------------------------------------------------------------------------------
 
+  /** Looks at the change together with those that come right after it. */
   #tickSoon(): void {
-    this.#soon ??= setTimeout(() => {
-      this.#soon = null;
-      this.#tick();
-    }, SOON_MS);
+    if (this.#soon === null || this.#soonAt - this.#now() <= SOON_MS) return;
+    clearTimeout(this.#soon);
+    this.#tickIn(SOON_MS);
+  }
+
+  #tickIn(ms: number): void {
+    this.#soonAt = this.#now() + ms;
+    this.#soon = setTimeout(() => this.#tick(), ms);
   }
 
   #tick(): void {
+    if (this.#stop.signal.aborted) return;
+    this.#tickIn(LOOP_MS);
     this.#noteAlone();
     this.#shareLimits();
     this.#learn();
@@ -384,16 +393,24 @@
     };
   }
 
+  /** Machines with room, those alike put together: after a boot wave there are a hundred of them. */
   #rooms(index: number): RoomStatus[] {
     const part = this.#keeper.owned.get(index)?.part;
     if (part === undefined) return [];
-    return part.rooms(this.#now()).map((m) => ({
-      ...m.free,
-      type: m.record.type,
-      zone: m.record.zone,
-      spot: m.record.spot,
-      images: [...m.images.keys()],
-    }));
+    const out = new Map<string, RoomStatus & { images: string[] }>();
+    for (const m of part.rooms(this.#now())) {
+      const { type, zone, spot } = m.record;
+      const { cpus, gpus, memoryGb } = m.free;
+      const alike = `${type} ${zone} ${spot} ${cpus} ${gpus} ${memoryGb}`;
+      const known = out.get(alike);
+      if (known === undefined) {
+        out.set(alike, { ...m.free, type, zone, spot, count: 1, images: [...m.images.keys()] });
+      } else {
+        known.count += 1;
+        for (const i of m.images.keys()) if (!known.images.includes(i)) known.images.push(i);
+      }
+    }
+    return [...out.values()];
   }
 
   #loads(spec: JobSpec): PartLoad[] {
@@ -425,7 +442,7 @@
       const rooms = (own === undefined ? (said?.rooms ?? []) : this.#rooms(part)).filter((r) =>
         roomFits(spec, r),
       );
-      const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r), 0);
+      const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r) * r.count, 0);
       const image = rooms.some((r) => r.images.includes(spec.image));
       if (tasks === 0) continue;
       if (best === null || (image && !best.image)) best = { part, tasks, image };
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -103,6 +103,12 @@
   readonly value: T;
   readonly stamp: number;
 }
+/** What has changed since somebody last asked. */
+export interface MirrorChanges {
+  all: boolean;
+  readonly jobs: Set<string>;
+  machines: boolean;
+}
 export interface MirroredMachine extends Mirrored<MachineRecord> {
   readonly group: string;
 }
@@ -128,6 +134,7 @@
   readonly machines = new Map<string, MirroredMachine>();
   /** counts what was taken in: as long as it stays, there is nothing new to compare with */
   version = 0;
+  #changed: MirrorChanges = { all: true, jobs: new Set(), machines: true };
   /** final states seen; the oldest are forgotten first and can be read again */
   readonly finals = new Map<string, FinalState>();
   epoch = -1;
@@ -147,6 +154,7 @@
     if (batch.fresh) {
       this.tables = emptyTables();
       this.machines.clear();
+      this.#changed.all = true;
       // A listing may be older than our own latest writes: without them it would show machines as
       // gone on which tasks run.
       this.#whole = Math.max(batch.whole ?? batch.epoch, this.#ownEpoch);
@@ -184,13 +192,16 @@
     const table = this.tables[prefix] as Map<string, Mirrored<unknown>>;
     const id = change.key.slice(prefix.length);
     const known = table.get(id);
-    if (known !== undefined && known.stamp > change.stamp) return;
+    // Of the same stamp: our own write, which is shown already.
+    if (known !== undefined && known.stamp >= change.stamp) return;
     if ((this.#removed.get(change.key) ?? -1) > change.stamp) return;
     const value = change.removed ? undefined : decoders[prefix](id, change.value);
     if (prefix === 'machines/') {
       const old = known?.value as MachineGroup | undefined;
       this.#regroup(id, old, value as MachineGroup | undefined, change.stamp);
     }
+    if (prefix === 'active/') this.#changed.jobs.add(id);
+    else if (prefix === 'machines/') this.#changed.machines = true;
     if (change.removed) table.delete(id);
     else table.set(id, { value, stamp: change.stamp });
   }
@@ -209,6 +220,13 @@
     for (const value of machinesOf(now)) this.machines.set(value.name, { value, stamp, group });
   }
 
+  /** For the one who compares what is with what is wanted: only the changed needs looking at. */
+  takeChanges(): MirrorChanges {
+    const changed = this.#changed;
+    this.#changed = { all: false, jobs: new Set(), machines: false };
+    return changed;
+  }
+
   /** Completed tasks of a range as its part has saved them. */
   done(part: number, uid: string, from: number): string | undefined {
     const range = `${uid}/${from}`;
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -15,7 +15,16 @@
       load: 0.5,
       waiting: 3,
       rooms: [
-        { cpus: 1, gpus: 0, memoryGb: 2, type: 'm', zone: 'z', spot: true, images: ['i', 'k'] },
+        {
+          cpus: 1,
+          gpus: 0,
+          memoryGb: 2,
+          type: 'm',
+          zone: 'z',
+          spot: true,
+          count: 3,
+          images: ['i', 'k'],
+        },
       ],
       images: [{ machine: 'x', images: ['i'], gb: [7.5] }],
     },
