--- a/src/constants.ts
+++ b/src/constants.ts
@@ -67,7 +67,7 @@
 /** ms; taken off a lease's end, for the time between checking authority and acting on it. */
 export const LEASE_MARGIN_MS = 500;
 /** ms; a watch is opened again no sooner than this: each opening counts as a request. */
-export const FOLLOW_PAUSE_MS = 150;
+export const FOLLOW_PAUSE_MS = 250;
 /** ms; how long a watch blocks. A held watch shows an outage only by its end, so not for long. */
 export const FOLLOW_BLOCK_MS = 10_000;
 /** items in one page of a listing; the service returns no more than 1,000. */
@@ -170,6 +170,10 @@
 export const RANGE_MOST = 8192;
 /** ms; a waiting range that fits nowhere in its part may pass to another part after this. */
 export const PASS_AFTER_MS = 1500;
+/** ms; what other nodes say of their room comes about once a second, so passes are tried as often. */
+export const PASS_EVERY_MS = 500;
+/** jobs looked at in one try, the longest waiting first. */
+export const PASS_TRIES = 10;
 /** ms; a range that passed stays at least this long before it passes again. */
 export const PASS_AGAIN_MS = 5000;
 
--- a/src/passing.ts
+++ b/src/passing.ts
@@ -1,7 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from './config/platform.js';
-import { PASS_AFTER_MS, RANGES_MOST, STATE_PAUSE_MS } from './constants.js';
+import {
+  PASS_AFTER_MS,
+  PASS_EVERY_MS,
+  PASS_TRIES,
+  RANGES_MOST,
+  STATE_PAUSE_MS,
+} from './constants.js';
 import { hasGuarantee, hasLimit } from './core/jobs.js';
 import type { JobSpec, TaskRange } from './core/model.js';
 import type { JobState } from './core/part.js';
@@ -13,6 +19,8 @@
 
 /** Hands tasks that fit nowhere in their part to one where they fit. */
 export class Passing {
+  #lastTry = -Infinity;
+
   constructor(
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact' | 'get'>,
@@ -29,6 +37,9 @@
 
   /** A task that fits nowhere in its part passes, by transaction, to a part where it fits. */
   passStuck(index: number, owned: Owned, now: number): void {
+    if (now - this.#lastTry < PASS_EVERY_MS) return;
+    this.#lastTry = now;
+    let tries = 0;
     for (const job of owned.part.jobs.values()) {
       if (job.stuckSince === null || now - job.stuckSince < PASS_AFTER_MS) continue;
       if (now < job.passAfter || job.passing.length > 0) continue;
@@ -36,8 +47,10 @@
       if (hasLimit(team) || hasGuarantee(team)) continue;
       const active = this.mirror.tables['active/'].get(job.spec.uid);
       if (active === undefined || active.value.ranges.length >= RANGES_MOST) continue;
-      const can = owned.part.passable(job, active.value);
-      const to = can === null ? null : this.roomElsewhere(job.spec, index);
+      tries += 1;
+      if (tries > PASS_TRIES) return;
+      const to = this.roomElsewhere(job.spec, index);
+      const can = to === null ? null : owned.part.passable(job, active.value);
       const era =
         to === null
           ? null
