--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -413,9 +413,12 @@
 
   release(p: Placement, now: number, why = 'gone'): void {
     const job = p.job;
+    // Stopping one task of a gang may release others that were to be stopped next: a task released
+    // twice would wait twice, and start on two machines.
+    if (job.placed.get(p.index) !== p) return;
     this.note(p.seen ? 'ended' : 'released', p, now, why);
     p.machine.tasks.delete(taskKey(job.spec.uid, p.index));
-    if (job.placed.get(p.index) === p) job.placed.delete(p.index);
+    job.placed.delete(p.index);
     this.recount(p.machine, now);
     if (job.over) {
       if (job.placed.size === 0) this.jobs.delete(job.spec.uid);
@@ -460,10 +463,15 @@
     this.note('stopping', p, now, `grace ${graceS} s`);
   }
 
-  /** Machines of an earlier term that should be told of ours at once. */
+  /**
+   * Machines of an earlier term that should be told of ours at once, and those that seem to hear
+   * nothing: an answer to a command would show that they do.
+   */
   unknownMachines(): MachineState[] {
     return [...this.machines.values()].filter(
-      (m) => !m.known && !m.returning && (m.session > 0 || this.inherited(m)),
+      (m) =>
+        !m.returning &&
+        (m.deafSince !== null || (!m.known && (m.session > 0 || this.inherited(m)))),
     );
   }
 
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -109,19 +109,29 @@
     return true;
   }
 
-  /** Holds what is free now for a gang that cannot have enough yet, in one zone if it must be. */
+  /**
+   * Holds machines for a gang that cannot have enough yet: those that are free, then those that will
+   * be soonest, so that nothing new starts there and they run empty. All in one zone if it must be.
+   */
   #collect(job: JobState, now: number): void {
-    const { uid, oneZone } = job.spec;
-    const free: Option[] = [];
-    for (const m of this.books.machines.values()) {
-      if (!allowed(this.books, m, job, now)) continue;
-      const option = this.#option(m, job, false, now);
-      if (option !== null) free.push(option);
-    }
-    const usable = oneZone ? inOneZone(free, Infinity) : free;
+    const { uid, oneZone, demand } = job.spec;
+    const options: (Option & { readonly held: boolean })[] = [];
     for (const m of this.books.machines.values()) {
-      if (m.hold?.uid === uid && m.hold.partial && !usable.some((o) => o.m === m)) m.hold = null;
+      if (m.type === null || !fits(demand, m.type) || !allowed(this.books, m, job, now)) continue;
+      const free = fits(demand, m.free);
+      const slots = timesIn(demand, free ? m.free : m.type);
+      const loss = free ? 0 : this.#busyS(m, now);
+      options.push({ m, slots, victims: [], loss, held: m.hold?.uid === uid });
     }
+    const held = options.filter((o) => o.held);
+    const zone = oneZone ? (held[0]?.m.record.zone ?? null) : null;
+    const usable = oneZone
+      ? zone === null
+        ? inOneZone(options, job.waiting.length)
+        : options.filter((o) => o.m.record.zone === zone)
+      : options;
+    // What is held already stays so: changing over would start anew each time.
+    usable.sort((x, y) => Number(y.held) - Number(x.held) || x.loss - y.loss);
     let open = job.waiting.length;
     for (const o of usable) {
       if (open <= 0) return;
@@ -130,6 +140,16 @@
     }
   }
 
+  /** Seconds until what runs there has ended, by the owners' estimates. */
+  #busyS(m: MachineState, now: number): number {
+    let longest = 0;
+    for (const p of m.tasks.values()) {
+      const ranS = p.runningSince === null ? 0 : (now - p.runningSince) / 1000;
+      longest = Math.max(longest, p.job.spec.estimateS - ranS);
+    }
+    return longest;
+  }
+
   #freeAfterStops(m: MachineState): Resources {
     let free = m.free;
     for (const p of m.tasks.values()) if (p.stop !== null) free = add(free, p.job.spec.demand);
@@ -168,8 +188,8 @@
 }
 
 /** The options of the zone with most slots; of zones with enough, the one with the least loss. */
-const inOneZone = (options: readonly Option[], needed: number): Option[] => {
-  const zones = new Map<string, { options: Option[]; slots: number; loss: number }>();
+const inOneZone = <O extends Option>(options: readonly O[], needed: number): O[] => {
+  const zones = new Map<string, { options: O[]; slots: number; loss: number }>();
   for (const o of options) {
     const z = zones.get(o.m.record.zone) ?? { options: [], slots: 0, loss: 0 };
     z.options.push(o);
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -1,16 +1,18 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { encodeDone } from '../src/core/jobs.js';
-import type { Command } from '../src/core/model.js';
+import type { Command, Report } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
 import { randomFrom } from '../src/random.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
 import { FakeWorker, Ground } from './standins/worker.js';
 
 /**
- * Owners come and go, answers get lost, direct commands arrive late, machines hang, fall silent,
- * and are returned; jobs arrive and are cancelled. After each step no task may be on two machines
- * and no cancelled job may still run.
+ * Owners come and go, some within a fraction of a second; answers get lost, direct commands arrive
+ * late, copies of reports come late by up to several leases, at whoever owns the part then; machines
+ * hang, fall silent, hear nothing of what they are told, and are returned; former owners that lost
+ * sight of everybody go on answering; jobs arrive and are cancelled. After each step no task may be on
+ * two machines and no cancelled job may still run.
  */
 interface Late {
   at: number;
@@ -20,7 +22,15 @@
   commands: readonly Command[];
 }
 
+/** A copy of a report that the network delivers once more. */
+interface Copy {
+  at: number;
+  report: Report;
+}
+
 const STEP_MS = 500;
+/** ms; copies come by up to this late: well over a lease. */
+const COPY_MS = 3 * LEASE_MS;
 
 const play = (seed: number) => {
   const random = randomFrom(seed);
@@ -33,7 +43,12 @@
   let former: Part | null = null;
   const workers = new Map<string, FakeWorker>();
   const silentUntil = new Map<string, number>();
+  /** machines whose reports arrive while nothing reaches them */
+  const deafUntil = new Map<string, number>();
   const late: Late[] = [];
+  const copies: Copy[] = [];
+  let copied = 0;
+  let deafened = 0;
   let machines = 0;
   let jobs = 0;
 
@@ -77,9 +92,19 @@
       }
     }
     if (chance(0.7)) {
-      former = part;
-      term += 1;
-      part = partWith(store, term, {}, now);
+      // Now and then the next owner ends again before it has done anything.
+      for (let lives = chance(20) ? 2 : 1; lives > 0; lives--) {
+        former = part;
+        term += 1;
+        part = partWith(store, term, {}, now);
+      }
+    }
+    for (const c of copies.filter((x) => x.at <= now)) {
+      copies.splice(copies.indexOf(c), 1);
+      copied += 1;
+      // Nobody waits for the answer to a copy.
+      part.beat(c.report, now, true);
+      if (former !== null) former.beat(c.report, now, false);
     }
     part.sync(store, now);
     part.age(now);
@@ -96,6 +121,8 @@
         }
         continue;
       }
+      // What a deaf machine is told has no answer, and never arrives.
+      if ((deafUntil.get(worker.name) ?? 0) > now) continue;
       if (worker.hung || (silentUntil.get(worker.name) ?? 0) > now) {
         part.directSettled(starts, false);
         continue;
@@ -113,17 +140,25 @@
       w.advance(now);
       if (chance(0.3)) w.hung = !w.hung;
       if (chance(0.3)) silentUntil.set(name, now + random(30_000));
+      if (chance(0.3)) {
+        deafUntil.set(name, now + random(40_000));
+        deafened += 1;
+      }
       if (w.hung || (silentUntil.get(name) ?? 0) > now) continue;
       if (random(6) > 0) continue;
       const r = w.report();
+      for (let more = chance(15) ? 1 + random(2) : 0; more > 0; more--) {
+        copies.push({ at: now + random(COPY_MS), report: r });
+      }
       const owner = former !== null && chance(20) ? former : part;
       const result = owner.beat(r, now, owner === part);
       if (result.kind !== 'answer') continue;
-      // Some answers get lost on the way back.
+      // Some answers get lost on the way back, and all of those to a deaf machine.
+      if ((deafUntil.get(name) ?? 0) > now) continue;
       if (!chance(15)) w.answered(owner.term, result.commands, now, r.session);
     }
     for (const m of [...part.machines.values()]) {
-      if (!part.isLost(m, now) && !m.condemned) continue;
+      if (!part.isLost(m, now) && !part.isDeaf(m, now) && !m.condemned) continue;
       m.returning = true;
       if (chance(50)) continue;
       workers.get(m.record.name)?.vanish();
@@ -135,18 +170,23 @@
     ground.check(now);
     if (ground.broken.length > 0) break;
   }
-  return ground;
+  return { ground, copied, deafened };
 };
 
 test('random failures break no rule, with fixed seeds', () => {
   let started = 0;
   let completed = 0;
+  let copied = 0;
+  let deafened = 0;
   for (let seed = 1; seed <= 60; seed++) {
-    const ground = play(seed);
+    const { ground, ...seen } = play(seed);
     assert.deepEqual(ground.broken, [], `seed ${seed}`);
+    copied += seen.copied;
+    deafened += seen.deafened;
     started += ground.started;
     for (const done of ground.completed.values()) completed += done.size;
   }
   assert.ok(started > 2000, `only ${started} starts: the day tests nothing`);
   assert.ok(completed > 1000, `only ${completed} completions`);
+  assert.ok(copied > 1000 && deafened > 100, `${copied} copies, ${deafened} deaf machines`);
 });
--- /dev/null
+++ b/test/troubles.test.ts
@@ -0,0 +1,286 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
+import type { Command, Report } from '../src/core/model.js';
+import type { Part } from '../src/core/part.js';
+import { job, LEASE_MS, machine, machineType, partWith, settings, Store } from './helpers.js';
+import { CANCEL_MS, FakeWorker, Ground } from './standins/worker.js';
+
+const RUN_MS = 20_000;
+const REPORT_MS = settings().reportMs;
+
+/** What the part would give back to the cloud now. */
+const returns = (part: Part, now: number): string[] => {
+  const input: CapacityInput = {
+    part,
+    parts: 1,
+    types: new Map([['m', machineType()]]),
+    zones: ['z'],
+    objectives: [],
+    stats: new Map(),
+    pending: [],
+    refused: () => true,
+    reserveSigma: 1,
+    drainS: 45,
+    idleKeepMs: 1e9,
+    machinesMost: 100,
+    now,
+  };
+  return planCapacity(input).giveBack.map((g) => g.name);
+};
+
+/** A report and its answer, which reaches the worker or not. */
+const beat = (part: Part, w: FakeWorker, now: number, hears = true): readonly Command[] => {
+  w.advance(now);
+  part.age(now);
+  part.placeAll(now);
+  const r = w.report();
+  const result = part.beat(r, now, true);
+  if (result.kind !== 'answer') return [];
+  if (hears) w.answered(part.term, result.commands, now, r.session);
+  return result.commands;
+};
+const runsOn = (ground: Ground, task: string): string[] => [...(ground.on.get(task) ?? [])];
+
+test('a machine that reports but hears nothing: its work goes elsewhere, it is given back', () => {
+  const cases: { name: string; direct: boolean }[] = [
+    { name: 'starts in answers are lost', direct: false },
+    { name: 'direct starts have no answer either', direct: true },
+  ];
+  for (const { name, direct } of cases) {
+    const ground = new Ground();
+    const part = partWith(new Store().add(machine('a'), machine('b'), job()));
+    const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+    const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+    beat(part, a, 0);
+    part.inspected(a.report(), 100);
+    if (direct) {
+      part.placeAll(200);
+      assert.equal(part.directCommands(200).length, 1, name);
+    }
+    beat(part, b, 300);
+    let now = REPORT_MS;
+    for (; now < 2 * LEASE_MS && runsOn(ground, 'job-000001/0').length === 0; now += REPORT_MS) {
+      beat(part, a, now, false);
+      if (returns(part, now).includes('a')) {
+        a.vanish();
+        part.machineGone('a', now);
+      }
+      beat(part, b, now + 1);
+      beat(part, b, now + 600);
+    }
+    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['b'], `${name}: it runs where orders arrive`);
+    assert.ok(now <= 8 * REPORT_MS, `${name}: after ${now} ms`);
+    assert.ok(!part.machines.has('a') || part.machines.get('a')!.deafSince !== null, name);
+    assert.deepEqual(ground.broken, [], name);
+  }
+});
+
+test('one lost answer is no reason to give a machine back', () => {
+  const ground = new Ground();
+  const part = partWith(new Store().add(machine('a'), job()));
+  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+  beat(part, a, 0);
+  beat(part, a, REPORT_MS, false);
+  beat(part, a, 2 * REPORT_MS);
+  beat(part, a, 3 * REPORT_MS);
+  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  assert.deepEqual(returns(part, 6 * REPORT_MS), []);
+});
+
+test('a cancelled task on a machine that does not obey is gone in time: the machine is returned', () => {
+  const ground = new Ground();
+  const store = new Store().add(machine('a'), job());
+  // A lease longer than the time for cancellations: it does not end the task in time by itself.
+  const part = partWith(store, 1, { leaseMs: 10 * CANCEL_MS });
+  const a = new FakeWorker('a', ground, 10 * CANCEL_MS, 10 * CANCEL_MS, 0);
+  beat(part, a, 0);
+  beat(part, a, 600);
+  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  store.jobs.delete('job-000001');
+  part.sync(store, 1000);
+  ground.cancelledAt.set('job-000001', 1000);
+  let now = 1000;
+  while (!returns(part, now).includes('a')) {
+    beat(part, a, now, false);
+    now += REPORT_MS;
+    assert.ok(now < 1000 + CANCEL_MS, 'too late for the cloud to answer in time');
+  }
+  assert.ok(now < 1000 + 0.75 * CANCEL_MS, `given back after ${now} ms`);
+});
+
+test('late copies of reports change nothing: table', () => {
+  /** Everything about a machine that a report could change. */
+  const knows = (part: Part) => {
+    const m = part.machines.get('a');
+    const j = part.jobs.get('job-000001');
+    return {
+      machine: m && [m.session, m.counter, m.lastBeatAt, m.answeredAt, m.known, m.foreign],
+      tasks: m && [...m.tasks.keys()],
+      job: j && [j.waiting.length, [...j.placed.keys()], [...j.saved], [...j.unsaved], j.failures],
+    };
+  };
+  const scene = () => {
+    const ground = new Ground();
+    const store = new Store().add(machine('a'), job());
+    const part = partWith(store);
+    const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+    const sent: Report[] = [];
+    const say = (now: number) => {
+      beat(part, a, now);
+      sent.push({ ...a.report(), counter: a.counter - 1 });
+    };
+    return { ground, store, part, a, sent, say };
+  };
+  type Scene = ReturnType<typeof scene>;
+  const cases: [string, (s: Scene) => Part, (s: Scene) => void][] = [
+    ['of the same session, by seconds', (s) => s.part, (s) => s.say(4000)],
+    [
+      'of a task that has completed since',
+      (s) => s.part,
+      (s) => {
+        for (let t = 3000; t <= 27_000; t += 3000) s.say(t);
+        s.part.saved('job-000001', [0]);
+        s.say(28_000);
+        s.say(29_000);
+      },
+    ],
+    [
+      'of an earlier session',
+      (s) => s.part,
+      (s) => {
+        s.a.advance(5 * LEASE_MS);
+        s.say(5 * LEASE_MS);
+        s.say(5 * LEASE_MS + 600);
+      },
+    ],
+    [
+      'after the machine was returned',
+      (s) => s.part,
+      (s) => {
+        s.a.vanish();
+        s.part.machineGone('a', 2000);
+      },
+    ],
+  ];
+  for (const [name, owner, since] of cases) {
+    const s = scene();
+    for (const t of [0, 600, 1200]) s.say(t);
+    const copies = [...s.sent];
+    since(s);
+    const part = owner(s);
+    const before = knows(part);
+    const at = 20 * LEASE_MS;
+    for (const c of copies) assert.notEqual(part.beat(c, at, true).kind, 'answer', name);
+    assert.deepEqual(knows(part), before, name);
+    assert.deepEqual(s.ground.broken, [], name);
+  }
+});
+
+test('a copy from before a takeover does not count as an answer to the new owner', () => {
+  const ground = new Ground();
+  const store = new Store().add(machine('a'), machine('b'), job());
+  const old = partWith(store, 1);
+  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+  const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+  beat(old, a, 0);
+  const idle = a.report();
+  beat(old, a, 600);
+  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  const part = partWith(store, 2, {}, 1000);
+  beat(part, b, 1000);
+  beat(part, b, 1600);
+  part.beat(idle, 1700, true);
+  assert.equal(part.rebuilt, false, 'it was made before our term');
+  beat(part, b, 2200);
+  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  beat(part, a, 2300);
+  beat(part, a, 2900);
+  assert.equal(part.rebuilt, true);
+  assert.equal(part.jobs.get('job-000001')?.placed.get(0)?.machine.record.name, 'a');
+  assert.deepEqual(ground.broken, []);
+});
+
+test('nobody starves: with a steady stream of newer small jobs, the large ones get their turn', () => {
+  const whole = { cpus: 8, gpus: 2, memoryGb: 8 };
+  const cases: { name: string; large: Parameters<typeof job>[0]; withinS: number }[] = [
+    // Three run times: those before it, those beside it, and collecting the machines.
+    {
+      name: 'a gang of four machines',
+      large: { kind: 'gang', tasks: 4, demand: whole },
+      withinS: 60,
+    },
+    { name: 'a gang in one zone', large: { kind: 'gang', tasks: 6, oneZone: true }, withinS: 60 },
+    { name: 'a large array', large: { tasks: 40 }, withinS: 120 },
+  ];
+  for (const { name, large, withinS } of cases) {
+    const ground = new Ground();
+    const store = new Store();
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    for (const n of names) store.add(machine(n));
+    const part = partWith(store, 1, { startWithin: () => [10] });
+    const ws = names.map((n) => new FakeWorker(n, ground, RUN_MS, LEASE_MS, 0));
+    let small = 100;
+    const started = new Set<string>();
+    let now = 0;
+    for (; now < withinS * 1000; now += 600) {
+      // The queue of small jobs never runs dry.
+      while ([...part.jobs.values()].filter((j) => j.waiting.length > 0).length < 8) {
+        small += 1;
+        store.add(job({ uid: `job-${small}` }));
+        part.sync(store, now);
+      }
+      if (now === 6000) {
+        store.add(job({ uid: 'job-000099', ...large }));
+        part.sync(store, now);
+      }
+      for (const w of ws) beat(part, w, now);
+      for (const j of [...part.jobs.values()]) {
+        part.saved(j.spec.uid, [...j.unsaved]);
+        if (j.saved.size === j.spec.tasks) store.jobs.delete(j.spec.uid);
+      }
+      part.sync(store, now);
+      for (const [task, on] of ground.on) {
+        if (task.startsWith('job-000099/') && on.size > 0) started.add(task);
+      }
+      if (started.size === (large?.tasks ?? 0)) break;
+    }
+    assert.equal(started.size, large?.tasks, `${name}: started by ${now} ms`);
+    assert.deepEqual(ground.broken, [], name);
+  }
+});
+
+test('a gang that was only noted down and is stopped waits once, not twice', () => {
+  const store = new Store().add(
+    machine('a', { spot: true }),
+    machine('b', { spot: true }),
+    job({ kind: 'gang', tasks: 4, checkpointS: 5, saveS: 2 }),
+  );
+  const part = partWith(store);
+  const ws = ['a', 'b'].map((n) => new FakeWorker(n, new Ground(), RUN_MS, LEASE_MS, 0));
+  for (const w of ws) part.beat(w.report(), 0, true);
+  for (const w of ws) w.direct(part.term, 1, []);
+  for (const w of ws) part.inspected(w.report(), 100);
+  part.placeAll(200);
+  const [first] = [...part.jobs.get('job-000001')!.placed.values()];
+  part.requestStop(first!, 3, 300);
+  assert.deepEqual(part.jobs.get('job-000001')?.waiting, [0, 1, 2, 3]);
+});
+
+test('a gang that is stopped to save is told as a whole', () => {
+  const ground = new Ground();
+  const store = new Store().add(
+    machine('a', { spot: true }),
+    machine('b', { spot: true }),
+    job({ kind: 'gang', tasks: 4, checkpointS: 5, saveS: 2 }),
+  );
+  const part = partWith(store);
+  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+  const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+  for (const t of [0, 600, 1200]) for (const w of [a, b]) beat(part, w, t);
+  assert.equal(part.jobs.get('job-000001')?.placed.size, 4);
+  a.noticeS = 10;
+  part.beat(a.report(), 2000, true);
+  const told = part.directCommands(2000).flatMap((d) => d.commands);
+  assert.equal(told.filter((c) => c.op === 'stop' && c.graceS >= 2).length, 4, 'also on machine b');
+});
