--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -17,7 +17,7 @@
         reserve_sigma: range(0, 5, 1),
         drain_s: range(5, 3600, 45),
         idle_keep_s: range(0, 3600, 10),
-        machines_most: range(1, 100_000, 1000),
+        machines_most: range(1, 100_000, 10_000),
       })
       .strict()
       .prefault({}),
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -34,6 +34,8 @@
   /** machines to give back, with the reason */
   readonly giveBack: readonly { readonly name: string; readonly reason: string }[];
   /** machines wanted by type: ordinary ones, and such of any kind while spot ones can be had */
+  /** machines that were not asked for because of the operator's limit */
+  readonly capped: number;
   readonly wanted: readonly { readonly type: string; readonly need: TypeNeed }[];
 }
 
@@ -226,13 +228,15 @@
   const rent: RentWish[] = [];
   const pendingCount = input.pending.reduce((sum, p) => sum + p.count, 0);
   let room = Math.ceil(input.machinesMost / input.parts) - staying.length - pendingCount;
+  let capped = 0;
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
     const inZone = (z: string) => staying.filter((m) => m.record.zone === z).length;
     const zones = input.zones
       .filter((z) => (only === null || z === only) && type.zones.includes(z))
       .filter((z) => !input.refused(type.name, z, spot))
       .sort((a, b) => inZone(a) - inZone(b) || (a < b ? -1 : 1));
-    const n = Math.min(count, room);
+    const n = Math.max(0, Math.min(count, room));
+    if (zones.length > 0) capped += count - n;
     if (n <= 0 || zones.length === 0) return 0;
     zones.slice(0, n).forEach((zone, i) => {
       // Spread over the zones, the emptier ones first.
@@ -303,6 +307,7 @@
   return {
     rent,
     giveBack,
+    capped,
     wanted: [...wanted].map(([type, need]) => ({ type, need })),
   };
 };
--- a/src/passing.ts
+++ b/src/passing.ts
@@ -19,7 +19,8 @@
 
 /** Hands tasks that fit nowhere in their part to one where they fit. */
 export class Passing {
-  #lastTry = -Infinity;
+  /** by part */
+  readonly #lastTry = new Map<number, number>();
 
   constructor(
     private readonly config: PlatformConfig,
@@ -37,8 +38,8 @@
 
   /** A task that fits nowhere in its part passes, by transaction, to a part where it fits. */
   passStuck(index: number, owned: Owned, now: number): void {
-    if (now - this.#lastTry < PASS_EVERY_MS) return;
-    this.#lastTry = now;
+    if (now - (this.#lastTry.get(index) ?? -Infinity) < PASS_EVERY_MS) return;
+    this.#lastTry.set(index, now);
     let tries = 0;
     for (const job of owned.part.jobs.values()) {
       if (job.stuckSince === null || now - job.stuckSince < PASS_AFTER_MS) continue;
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -9,6 +9,7 @@
   RENT_MS,
   RENT_RETRY_MS,
   RETURN_MOST,
+  SUMMARY_MS,
 } from './constants.js';
 import { CloudTrouble, type CloudClient } from './cloud/client.js';
 import { planCapacity } from './core/capacity.js';
@@ -35,6 +36,7 @@
   readonly #adopting = new Set<string>();
   readonly addresses = new Map<string, string>();
   #lastPlan = -Infinity;
+  #lastCapped = -Infinity;
   #lastList = -Infinity;
   #listing = false;
 
@@ -97,6 +99,11 @@
       const { wanted, rent, giveBack } = plan;
       this.log.debug({ part: index, wanted, rent, giveBack }, 'capacity');
     }
+    if (plan.capped > 0 && now - this.#lastCapped > SUMMARY_MS) {
+      this.#lastCapped = now;
+      const limit = this.operator.machinesMost;
+      this.log.info({ part: index, limit, missing: plan.capped }, 'machine limit reached');
+    }
     const wishes: Wish[] = [];
     for (const wish of plan.rent) {
       for (let left = wish.count; left > 0; left -= RENT_MOST) {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -9,6 +9,7 @@
 import { CborClient, type Answer } from '../src/http.js';
 import { Service } from '../src/service.js';
 import { FakeCloud } from './standins/cloud.js';
+import { Link } from './standins/link.js';
 import { FakeState } from './standins/state.js';
 import { Ground } from './standins/worker.js';
 
@@ -29,6 +30,17 @@
 const state = new FakeState();
 let cloud: FakeCloud;
 const configs: PlatformConfig[] = [];
+/** every way between n2 and the state service or the other nodes; its workers and users are not cut */
+const links: Link[] = [];
+const link = async (target: string): Promise<string> => {
+  const l = new Link();
+  links.push(l);
+  await l.open(target);
+  return l.address;
+};
+const cutN2 = (cut: boolean): void => {
+  for (const l of links) l.cut = cut;
+};
 const services = new Map<string, Service>();
 const clients = new Map<string, CborClient>();
 
@@ -107,15 +119,24 @@
     LEASE_S * 1000,
   );
   await cloud.start();
+  const stateOfN2 = await link(state.address);
+  const fromN2 = [await link(listen(3)), await link(listen(4))];
+  const toN2 = await link(listen(5));
+  const peerAddress = (node: string, peer: number) => {
+    if (node === 'n2') return fromN2[peer]!;
+    return peer === 2 ? toN2 : listen(peer + 3);
+  };
   NAMES.forEach((node, i) => {
     configs.push({
       node,
       zone: 'z',
       listen: listen(i),
       peerListen: listen(i + 3),
-      peers: NAMES.flatMap((n, p) => (n === node ? [] : [{ node: n, address: listen(p + 3) }])),
+      peers: NAMES.flatMap((n, p) =>
+        n === node ? [] : [{ node: n, address: peerAddress(node, p) }],
+      ),
       cloud: cloud.address,
-      state: state.address,
+      state: node === 'n2' ? stateOfN2 : state.address,
       nodes: 3,
       zones: ['z'],
       teams: new Map([['t', { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]),
@@ -134,6 +155,7 @@
 after(() => {
   for (const n of NAMES) kill(n);
   for (const c of clients.values()) c.close();
+  for (const l of links) l.close();
   cloud.close();
   state.close();
 });
@@ -219,6 +241,41 @@
   await done('n2', uid, 30);
 });
 
+test('a node loses state service and other nodes, but not its workers', async () => {
+  const uids = await Promise.all(NAMES.map((n) => submit(n, submission({ Pieces: 10 }))));
+  cutN2(true);
+  const began = Date.now();
+  // The others take its part and do all of the work, what was on its machines included.
+  for (const uid of uids) await done('n0', uid, 40);
+  await until('its users are sent elsewhere', 20, async () => !(await ready('n2')()));
+  assert.equal((await call('n2', 'POST', '/submissions', submission())).status, 503);
+  await until('longer than any lease', 30, () => Date.now() - began > 12_000);
+  cutN2(false);
+  await until('n2 ready', 20, ready('n2'));
+  await done('n2', await submit('n2'));
+  for (const uid of uids) assert.equal(await statusOf('n2', uid), 'done');
+  assert.deepEqual(ground.broken, []);
+});
+
+test('a node is back within a fraction of a second, also in the middle of a takeover', async () => {
+  const uids = await Promise.all(NAMES.map((n) => submit(n, submission({ Pieces: 8 }))));
+  for (const pause of [50, 200, 700]) {
+    kill('n1');
+    await sleep(pause);
+    await start('n1');
+    await sleep(300);
+  }
+  kill('n0');
+  kill('n1');
+  await sleep(100);
+  await start('n0');
+  await start('n1');
+  for (const uid of uids) await done('n2', uid, 40);
+  await until('n1 ready', 10, ready('n1'));
+  await done('n1', await submit('n1'));
+  assert.deepEqual(ground.broken, []);
+});
+
 test('machines die, and an answer of the cloud gets lost', async () => {
   cloud.loseAnswer = true;
   const uids = await Promise.all(NAMES.map((n) => submit(n, submission({ Pieces: 10 }))));
--- /dev/null
+++ b/test/standins/link.ts
@@ -0,0 +1,47 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+/** A way from one host to another that can be cut, as a packet filter between them would. */
+export class Link {
+  readonly #sockets = new Set<Socket>();
+  #server: Server | null = null;
+  #cut = false;
+  address = '';
+
+  async open(target: string): Promise<void> {
+    const colon = target.lastIndexOf(':');
+    const [host, port] = [target.slice(0, colon), Number(target.slice(colon + 1))];
+    const server = createServer((from) => {
+      if (this.#cut) {
+        from.destroy();
+        return;
+      }
+      const to = connect(port, host);
+      for (const [a, b] of [
+        [from, to],
+        [to, from],
+      ] as const) {
+        this.#sockets.add(a);
+        a.on('error', () => b.destroy());
+        a.on('close', () => {
+          this.#sockets.delete(a);
+          b.destroy();
+        });
+        a.pipe(b);
+      }
+    });
+    this.#server = server;
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
+  set cut(cut: boolean) {
+    this.#cut = cut;
+    if (cut) for (const s of this.#sockets) s.destroy();
+  }
+
+  close(): void {
+    this.cut = true;
+    this.#server?.close();
+  }
+}
