--- a/src/constants.ts
+++ b/src/constants.ts
@@ -18,24 +18,38 @@
 export const USER_CALL_MS = 1500;
 /** requests; more than these waiting on the state service are refused at once, never queued. */
 export const USER_WAITING_LIMIT = 200;
+/** ms; a submission whose write would wait longer than this is refused at once. */
+export const SUBMIT_WAIT_MS = 900;
 /** s; what a refused user is told to wait: long enough that a wave of retries spreads out. */
-export const RETRY_AFTER_S = { least: 1, spread: 3 } as const;
+export const RETRY_AFTER_S = { least: 1, most: 15, spread: 3 } as const;
 /** final states kept in memory; at about 100 bytes each this stays below 3 MB. */
 export const FINALS_IN_MEMORY = 20_000;
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 30;
+export const SOON_MS = 120;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
 export const LOOP_MS = 250;
 /** ms; completions collect this long so that those of one job share a write; users allow 3 s. */
 export const SAVE_MS = 200;
+/** ms; between writes of completions that end neither a job nor a range: nobody waits for them. */
+export const PROGRESS_MS = 1500;
+/** ms; between two writes of a part's machine records: those of a boot wave come close together. */
+export const MACHINES_MS = 400;
+/** share of a value's limit up to which completions of ranges are put together in it */
+export const SLOT_FILL = 0.6;
 
 // --- state service ------------------------------------------------------------------------------
 /** bytes; well under the 64 KiB of a transaction, keys and conditions included. */
 export const BATCH_BYTES = 40_000;
+/** tokens; a node with a small share may still send a transaction of this size at once. */
+export const STATE_BURST_LEAST = 4;
+/** ms; a read of the feed that takes longer is held: nothing changes. Usual answers take 10 ms. */
+export const HELD_READ_MS = 40;
+/** share of a node's requests that the feed may take; less means answers and starts come later. */
+export const FEED_SHARE = 0.3;
 /** ms; polls of the same job that come within this time share a read. */
 export const READ_GATHER_MS = 4;
 /** calls; a single one may be lost on the way without the service being out. */
@@ -53,7 +67,7 @@
 /** ms; taken off a lease's end, for the time between checking authority and acting on it. */
 export const LEASE_MARGIN_MS = 500;
 /** ms; a watch is opened again no sooner than this: each opening counts as a request. */
-export const FOLLOW_PAUSE_MS = 150;
+export const FOLLOW_PAUSE_MS = 250;
 /** ms; how long a watch blocks. A held watch shows an outage only by its end, so not for long. */
 export const FOLLOW_BLOCK_MS = 10_000;
 /** items in one page of a listing; the service returns no more than 1,000. */
@@ -74,6 +88,11 @@
  * of an outage the nodes see it a little apart, and a node that leaves comes back late.
  */
 export const READY_GRACE_MS = 3000;
+/**
+ * ms; a node without state that hears no other node leaves the load balancer after this: by then its
+ * lease is over and others have taken its parts. Its users are better served by them.
+ */
+export const CUT_OFF_MS = 8000;
 
 // --- membership ---------------------------------------------------------------------------------
 /** ms; a stray worker is told to the others for this long. */
@@ -88,6 +107,8 @@
 export const HANDOVER_SETTLE_MS = 2500;
 /** ms; gossip interval between nodes. */
 export const GOSSIP_MS = 1000;
+/** messages; one in so many carries what is large and changes slowly. */
+export const DETAIL_EVERY = 8;
 /** ms; a peer not heard for this long counts as unreachable. */
 export const PEER_FRESH_MS = 3500;
 /** bytes; a gossip message is a few KiB, so a longer frame is an error of the sender. */
@@ -112,6 +133,15 @@
 export const LOST_REPORTS = 4.5;
 /** s; a stop whose task still runs after its grace and this is repeated with no grace. */
 export const STOP_OVERDUE_S = 6;
+/** orders in a row without effect after which a machine counts as one that hears nothing. */
+export const IGNORED_ORDERS = 2;
+/** report intervals after which a machine that hears nothing is returned to the cloud. */
+export const DEAF_REPORTS = 2;
+/** share of the time for a cancellation after which a task that was told to stop and still runs
+ * costs its machine: the rest is for the cloud's answer, and for asking again. */
+export const STOP_PATIENCE = 0.5;
+/** stuck jobs for which room is sought in one pass: each looks at every machine of the part. */
+export const ROOM_TRIES = 8;
 /** distinct jobs that must fail on a machine, without a success between, to condemn it. */
 export const SICK_JOBS = 2;
 /** s; first and longest pause of a job whose tasks fail on machine after machine. */
@@ -140,6 +170,10 @@
 export const RANGE_MOST = 8192;
 /** ms; a waiting range that fits nowhere in its part may pass to another part after this. */
 export const PASS_AFTER_MS = 1500;
+/** ms; what other nodes say of their room comes about once a second, so passes are tried as often. */
+export const PASS_EVERY_MS = 500;
+/** jobs looked at in one try, the longest waiting first. */
+export const PASS_TRIES = 10;
 /** ms; a range that passed stays at least this long before it passes again. */
 export const PASS_AGAIN_MS = 5000;
 
@@ -158,12 +192,18 @@
 export const CLOUD_CALL_MS = 4000;
 /** ms; the machine list is read this often by each owner. */
 export const LIST_MS = 5000;
+/** share of a node's calls to the cloud that reading the list may take. */
+export const LIST_SHARE = 0.35;
+/** ms; a call that lets others go first looks again after this. */
+export const TOKEN_POLL_MS = 50;
 /** s of the cloud's limit that may be spent at once; the cloud allows two seconds' worth. */
 export const CLOUD_BURST_S = 1.5;
 /** ms; machine types (prices) are read again this often. */
 export const TYPES_MS = 60_000;
 /** ms; after "no capacity" the same type, zone and kind is not asked for again for this long. */
 export const NO_CAPACITY_MS = 15_000;
+/** names of returned machines that are kept: the cloud lists them a little longer. */
+export const RETURNED_KEPT = 10_000;
 /** machines; the protocol's limits for one request. */
 export const RENT_MOST = 50;
 export const RETURN_MOST = 100;
--- a/src/service.ts
+++ b/src/service.ts
@@ -8,6 +8,9 @@
 import type { OperatorConfig } from './config/operator.js';
 import type { PlatformConfig } from './config/platform.js';
 import {
+  CUT_OFF_MS,
+  FEED_SHARE,
+  FOLLOW_PAUSE_MS,
   LOOP_MS,
   READY_GRACE_MS,
   REQUEST_MS,
@@ -23,11 +26,12 @@
 import { Learning } from './core/learning.js';
 import { fits, timesIn, type JobSpec, type MachineType, type Report } from './core/model.js';
 import { Keeper, type PeerView } from './keeper.js';
-import { Gossip } from './peers/gossip.js';
+import { Gossip, type OwnStatus } from './peers/gossip.js';
 import type { PeerStatus, RoomStatus } from './peers/frames.js';
 import { randomFrom } from './random.js';
 import { Rentals } from './rentals.js';
 import { StateClient } from './state/client.js';
+import { Currency } from './state/currency.js';
 import { NodeLease } from './state/lease.js';
 import { feed, Mirror, type FeedBatch } from './state/mirror.js';
 import { userRoutes } from './users/api.js';
@@ -42,6 +46,7 @@
   readonly #state: StateClient;
   readonly #cloud: CloudClient;
   readonly #mirror = new Mirror();
+  readonly #currency: Currency;
   readonly #lease: NodeLease;
   readonly #learning = new Learning();
   readonly #gossip: Gossip;
@@ -53,18 +58,26 @@
   readonly #accepts = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000 });
   #types: ReadonlyMap<string, MachineType> | null = null;
   #soon: NodeJS.Timeout | null = null;
+  /** when the loop runs next */
+  #soonAt = Infinity;
   #aloneSince: number | null = null;
+  #cutOffSince: number | null = null;
+  /** nodes among which the limits are shared */
+  #sharing: number;
+  /** the mirror's version whose jobs are learned from */
+  #learned = -1;
   #server: Server | null = null;
 
   constructor(
     private readonly config: PlatformConfig,
-    operator: OperatorConfig,
+    private readonly operator: OperatorConfig,
     private readonly log: Logger,
   ) {
     const seed = (timeOfDayMs() * 1000 + Math.floor(steadyMs() * 1000) + process.pid) | 0;
     this.#random = randomFrom(seed);
     this.#incarnation = `${timeOfDayMs().toString(36)}${this.#random(2 ** 30).toString(36)}`;
     const { rps, writeRps } = config.stateLimits;
+    this.#sharing = config.nodes;
     this.#state = new StateClient(
       config.state,
       {
@@ -73,10 +86,17 @@
       },
       this.#now,
     );
+    this.#currency = new Currency(this.#state, this.#mirror, this.#now);
     const cloudRps = (config.cloudLimits.rps * operator.cloudRequestShare) / config.nodes;
     this.#cloud = new CloudClient(config.cloud, cloudRps, this.#now);
     this.#lease = new NodeLease(this.#state, config.node, this.#incarnation, this.#now, log);
-    this.#gossip = new Gossip(config.node, config.peers, () => this.#status(), this.#now, log);
+    this.#gossip = new Gossip(
+      config.node,
+      config.peers,
+      (detailed) => this.#status(detailed),
+      this.#now,
+      log,
+    );
     this.#keeper = new Keeper(
       config,
       operator,
@@ -88,6 +108,7 @@
       () => this.#types,
       (jobClass) => this.#startWithin(jobClass),
       this.#now,
+      timeOfDayMs,
       log,
     );
     this.#rentals = new Rentals(
@@ -107,6 +128,7 @@
     this.#jobs = new Jobs(
       this.#state,
       this.#mirror,
+      this.#currency,
       {
         types: () => this.#types,
         loads: (spec) => this.#loads(spec),
@@ -116,7 +138,6 @@
       config.teams,
       config.nodes,
       operator.loadThreshold,
-      config.stateLimits.transactionOps,
     );
     this.#mirror.on('change', () => this.#tickSoon());
   }
@@ -127,7 +148,7 @@
     this.#background('lease', this.#lease.run());
     this.#background('feed', this.#follow());
     this.#background('machine types', this.#loadTypes());
-    this.#timers.push(setInterval(() => this.#tick(), LOOP_MS));
+    this.#tickIn(LOOP_MS);
     this.#timers.push(setInterval(() => this.#summary(), SUMMARY_MS));
     this.log.info({ listen: this.config.listen, incarnation: this.#incarnation }, 'started');
   }
@@ -176,7 +197,13 @@
   }
 
   async #follow(): Promise<void> {
-    for await (const batch of feed(this.#state, this.#stop.signal)) {
+    const rps = (this.config.stateLimits.rps * this.operator.stateRequestShare) / this.config.nodes;
+    const options = {
+      pauseMs: Math.max(FOLLOW_PAUSE_MS, 1000 / (rps * FEED_SHARE)),
+      now: this.#now,
+      reading: (since: number | null) => this.#currency.reading(since),
+    };
+    for await (const batch of feed(this.#state, this.#stop.signal, options)) {
       this.#mirror.apply(batch as FeedBatch);
     }
   }
@@ -201,22 +228,24 @@
 
   // --- loops -------------------------------------------------------------------------------------
 
+  /** Looks at the change together with those that come right after it. */
   #tickSoon(): void {
-    this.#soon ??= setTimeout(() => {
-      this.#soon = null;
-      this.#tick();
-    }, SOON_MS);
+    if (this.#soon === null || this.#soonAt - this.#now() <= SOON_MS) return;
+    clearTimeout(this.#soon);
+    this.#tickIn(SOON_MS);
+  }
+
+  #tickIn(ms: number): void {
+    this.#soonAt = this.#now() + ms;
+    this.#soon = setTimeout(() => this.#tick(), ms);
   }
 
   #tick(): void {
+    if (this.#stop.signal.aborted) return;
+    this.#tickIn(LOOP_MS);
     this.#noteAlone();
-    const nowS = timeOfDayMs() / 1000;
-    for (const { value } of this.#mirror.tables['active/'].values()) {
-      this.#learning.arrived(value.spec, Math.min(nowS, value.at / 1000));
-    }
-    for (const status of this.#gossip.heard()) {
-      for (const c of status.classes) this.#learning.adopt(c.jobClass, c.runS, c.finished);
-    }
+    this.#shareLimits();
+    this.#learn();
     this.#keeper.tick();
     for (const [index, { part }] of this.#keeper.owned) {
       for (const run of part.finishedRuns.splice(0)) this.#learning.ran(run.jobClass, run.runS);
@@ -227,6 +256,34 @@
     this.#rentals.tick();
   }
 
+  /** The limits of state service and cloud are for all nodes together: those that live share them. */
+  #shareLimits(): void {
+    const alive = this.#mirror.ready ? this.#keeper.aliveNodes() : this.config.nodes;
+    const nodes = Math.min(this.config.nodes, Math.max(1, alive));
+    if (nodes === this.#sharing) return;
+    this.#sharing = nodes;
+    const { rps, writeRps } = this.config.stateLimits;
+    const { stateRequestShare, stateWriteShare, cloudRequestShare } = this.operator;
+    this.#state.setLimits({
+      rps: (rps * stateRequestShare) / nodes,
+      writeRps: (writeRps * stateWriteShare) / nodes,
+    });
+    this.#cloud.setRate((this.config.cloudLimits.rps * cloudRequestShare) / nodes);
+  }
+
+  /** Arrivals, when there are new ones, and what other nodes have learned of run times. */
+  #learn(): void {
+    if (this.#learned === this.#mirror.version) return;
+    this.#learned = this.#mirror.version;
+    const nowS = timeOfDayMs() / 1000;
+    for (const { value } of this.#mirror.tables['active/'].values()) {
+      this.#learning.arrived(value.spec, Math.min(nowS, value.at / 1000));
+    }
+    for (const status of this.#gossip.heard()) {
+      for (const c of status.classes) this.#learning.adopt(c.jobClass, c.runS, c.finished);
+    }
+  }
+
   #beat(report: Report): BeatReply {
     const reply = this.#keeper.beat(report);
     if (reply.kind === 'unavailable') this.#rentals.sighted(report);
@@ -240,13 +297,18 @@
    */
   #ready(): boolean {
     if (!this.#mirror.ready || this.#types === null) return false;
-    return this.#aloneSince === null || this.#now() - this.#aloneSince < READY_GRACE_MS;
+    const now = this.#now();
+    if (this.#cutOffSince !== null && now - this.#cutOffSince >= CUT_OFF_MS) return false;
+    return this.#aloneSince === null || now - this.#aloneSince < READY_GRACE_MS;
   }
 
-  /** Notes since when this node alone has been without state. */
+  /** Notes since when this node alone has been without state, or without state and anybody else. */
   #noteAlone(): void {
-    const alone = !this.#state.up && this.#peerWithState() !== null;
+    const { up } = this.#state;
+    const alone = !up && this.#peerWithState() !== null;
     this.#aloneSince = alone ? (this.#aloneSince ?? this.#now()) : null;
+    const cutOff = !up && this.config.peers.length > 0 && this.#gossip.fresh().length === 0;
+    this.#cutOffSince = cutOff ? (this.#cutOffSince ?? this.#now()) : null;
   }
 
   // --- aims --------------------------------------------------------------------------------------
@@ -295,7 +357,7 @@
     };
   }
 
-  #status(): Omit<PeerStatus, 'node' | 'sentAt' | 'echoes'> {
+  #status(detailed: boolean): OwnStatus {
     const now = this.#now();
     const sightings = new Map<number, number>();
     for (const [machine, s] of this.#keeper.sighted) {
@@ -306,7 +368,7 @@
     const parts: PeerStatus['parts'] = [];
     for (const [index, { part }] of this.#keeper.owned) {
       const rooms = this.#rooms(index);
-      const images = [...part.machines.values()]
+      const images = [...(detailed ? part.machines.values() : [])]
         .filter((m) => m.images.size > 0)
         .map((m) => ({
           machine: m.record.name,
@@ -315,7 +377,7 @@
         }));
       const load = part.load(now);
       parts.push({ part: index, load, rooms, waiting: part.waiting(), images });
-      for (const job of part.jobs.values()) {
+      for (const job of detailed ? part.jobs.values() : []) {
         const done = job.saved.size + job.unsaved.size;
         const running = [...job.placed.values()].filter((p) => p.state === 'running').length;
         if (done + running > 0) jobs.push({ uid: job.spec.uid, running, done, part: index });
@@ -331,16 +393,24 @@
     };
   }
 
+  /** Machines with room, those alike put together: after a boot wave there are a hundred of them. */
   #rooms(index: number): RoomStatus[] {
     const part = this.#keeper.owned.get(index)?.part;
     if (part === undefined) return [];
-    return part.rooms(this.#now()).map((m) => ({
-      ...m.free,
-      type: m.record.type,
-      zone: m.record.zone,
-      spot: m.record.spot,
-      images: [...m.images.keys()],
-    }));
+    const out = new Map<string, RoomStatus & { images: string[] }>();
+    for (const m of part.rooms(this.#now())) {
+      const { type, zone, spot } = m.record;
+      const { cpus, gpus, memoryGb } = m.free;
+      const alike = `${type} ${zone} ${spot} ${cpus} ${gpus} ${memoryGb}`;
+      const known = out.get(alike);
+      if (known === undefined) {
+        out.set(alike, { ...m.free, type, zone, spot, count: 1, images: [...m.images.keys()] });
+      } else {
+        known.count += 1;
+        for (const i of m.images.keys()) if (!known.images.includes(i)) known.images.push(i);
+      }
+    }
+    return [...out.values()];
   }
 
   #loads(spec: JobSpec): PartLoad[] {
@@ -372,7 +442,7 @@
       const rooms = (own === undefined ? (said?.rooms ?? []) : this.#rooms(part)).filter((r) =>
         roomFits(spec, r),
       );
-      const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r), 0);
+      const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r) * r.count, 0);
       const image = rooms.some((r) => r.images.includes(spec.image));
       if (tasks === 0) continue;
       if (best === null || (image && !best.image)) best = { part, tasks, image };
@@ -434,6 +504,7 @@
     this.#gossip.close();
     this.#server?.close();
     this.#server?.closeAllConnections();
+    this.#currency.close();
     this.#state.close();
     this.#cloud.close();
   }
