--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -523,17 +523,25 @@
     return m.known && now - m.lastBeatAt <= this.settings.reportMs * SILENT_REPORTS;
   }
 
-  /** Booked share of the part: the largest over the resources, waiting tasks included. */
-  load(now: number): number {
+  /**
+   * Booked share of the part for a job of the rank: the largest over the resources, waiting tasks
+   * included. Only machines that the job may use count, and only work that it cannot displace.
+   */
+  load(rank: number, spot: boolean, now: number): number {
+    const least = this.settings.preempt ? rank : 0;
     let capacity = ZERO;
     let booked = ZERO;
     for (const m of this.machines.values()) {
       const dying = m.leaving || m.returning || m.condemned || m.noticeAt !== null;
       if (m.type === null || dying || (m.everKnown && !this.isFresh(m, now))) continue;
+      if (m.record.spot && !spot) continue;
       capacity = add(capacity, m.type);
+      for (const p of m.tasks.values()) {
+        if (p.job.rank >= least) booked = add(booked, p.job.spec.demand);
+      }
     }
     for (const job of this.jobs.values()) {
-      booked = add(booked, job.spec.demand, job.placed.size + job.waiting.length);
+      if (job.rank >= least) booked = add(booked, job.spec.demand, job.waiting.length);
     }
     if (booked.cpus + booked.gpus + booked.memoryGb === 0) return 0;
     // A part without machines counts as one machine: what is booked there still tells parts apart.
@@ -542,13 +550,26 @@
     return Math.max(...RESOURCE_KINDS.map(share));
   }
 
-  /** Tasks that wait for room. */
-  waiting(): number {
+  /** Tasks of this rank or a higher one that wait for room. */
+  waiting(rank = 0): number {
     let count = 0;
-    for (const job of this.jobs.values()) count += job.waiting.length;
+    for (const job of this.jobs.values()) if (job.rank >= rank) count += job.waiting.length;
     return count;
   }
 
+  /** Machines on which a job of some rank could displace everything, with the least such rank. */
+  displaceable(now: number): { m: MachineState; rank: number }[] {
+    if (!this.settings.preempt) return [];
+    const out: { m: MachineState; rank: number }[] = [];
+    for (const m of this.machines.values()) {
+      if (m.tasks.size === 0 || m.hold !== null || !this.usable(m, now)) continue;
+      let rank = 0;
+      for (const p of m.tasks.values()) rank = Math.max(rank, p.job.rank + 1);
+      if (rank <= PRIORITY_RANK.production) out.push({ m, rank });
+    }
+    return out;
+  }
+
   /** Machines that could take a task now, for the routing of other nodes. */
   rooms(now: number): MachineState[] {
     // Every task takes some CPU and memory, so a machine without either has no room.
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -139,11 +139,14 @@
   isFresh(m: MachineState, now: number): boolean {
     return this.books.isFresh(m, now);
   }
-  load(now: number): number {
-    return this.books.load(now);
+  load(rank: number, spot: boolean, now: number): number {
+    return this.books.load(rank, spot, now);
   }
-  waiting(): number {
-    return this.books.waiting();
+  waiting(rank = 0): number {
+    return this.books.waiting(rank);
+  }
+  displaceable(now: number): { m: MachineState; rank: number }[] {
+    return this.books.displaceable(now);
   }
   rooms(now: number): MachineState[] {
     return this.books.rooms(now);
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -13,6 +13,8 @@
   spot: boolean;
   /** machines that are alike */
   count: number;
+  /** the least rank that finds this room, by displacing what is there; 0: it is free */
+  rank: number;
   /** images that any of them holds */
   images: string[];
 }
@@ -25,9 +27,11 @@
   detailed: boolean;
   parts: {
     part: number;
-    load: number;
+    /** by rank, each for jobs without and with spot machines */
+    loads: number[];
     rooms: RoomStatus[];
-    waiting: number;
+    /** tasks of a rank or a higher one that wait for room, by rank */
+    waiting: number[];
     images: { machine: string; images: string[]; gb: number[] }[];
   }[];
   jobs: { uid: string; running: number; done: number; part: number }[];
--- a/src/service.ts
+++ b/src/service.ts
@@ -24,7 +24,16 @@
 } from './constants.js';
 import type { PartLoad } from './core/jobs.js';
 import { Learning } from './core/learning.js';
-import { fits, timesIn, type JobSpec, type MachineType, type Report } from './core/model.js';
+import {
+  fits,
+  PRIORITY_RANK,
+  timesIn,
+  type JobSpec,
+  type MachineType,
+  type Report,
+  type Resources,
+} from './core/model.js';
+import type { MachineState } from './core/part.js';
 import { Keeper, type PeerView } from './keeper.js';
 import { Gossip, type OwnStatus } from './peers/gossip.js';
 import type { PeerStatus, RoomStatus } from './peers/frames.js';
@@ -57,6 +66,8 @@
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #accepts = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000 });
   #types: ReadonlyMap<string, MachineType> | null = null;
+  /** the loads of our own parts as last told to the others */
+  readonly #loadsOf = new Map<number, number[]>();
   #soon: NodeJS.Timeout | null = null;
   /** when the loop runs next */
   #soonAt = Infinity;
@@ -375,8 +386,10 @@
           images: [...m.images.keys()],
           gb: [...m.images.values()],
         }));
-      const load = part.load(now);
-      parts.push({ part: index, load, rooms, waiting: part.waiting(), images });
+      const loads = RANKS.flatMap((r) => [part.load(r, false, now), part.load(r, true, now)]);
+      this.#loadsOf.set(index, loads);
+      const waiting = RANKS.map((r) => part.waiting(r));
+      parts.push({ part: index, loads, rooms, waiting, images });
       for (const job of detailed ? part.jobs.values() : []) {
         const done = job.saved.size + job.unsaved.size;
         const running = [...job.placed.values()].filter((p) => p.state === 'running').length;
@@ -398,31 +411,37 @@
     const part = this.#keeper.owned.get(index)?.part;
     if (part === undefined) return [];
     const out = new Map<string, RoomStatus & { images: string[] }>();
-    for (const m of part.rooms(this.#now())) {
+    const note = (m: MachineState, free: Resources, rank: number) => {
       const { type, zone, spot } = m.record;
-      const { cpus, gpus, memoryGb } = m.free;
-      const alike = `${type} ${zone} ${spot} ${cpus} ${gpus} ${memoryGb}`;
+      const { cpus, gpus, memoryGb } = free;
+      const alike = `${type} ${zone} ${spot} ${rank} ${cpus} ${gpus} ${memoryGb}`;
       const known = out.get(alike);
       if (known === undefined) {
-        out.set(alike, { ...m.free, type, zone, spot, count: 1, images: [...m.images.keys()] });
+        const images = [...m.images.keys()];
+        out.set(alike, { cpus, gpus, memoryGb, type, zone, spot, rank, count: 1, images });
       } else {
         known.count += 1;
         for (const i of m.images.keys()) if (!known.images.includes(i)) known.images.push(i);
       }
-    }
+    };
+    const now = this.#now();
+    for (const m of part.rooms(now)) note(m, m.free, 0);
+    for (const { m, rank } of part.displaceable(now)) if (m.type !== null) note(m, m.type, rank);
     return [...out.values()];
   }
 
   #loads(spec: JobSpec): PartLoad[] {
-    const now = this.#now();
+    const rank = PRIORITY_RANK[spec.priority];
     const heard = this.#gossip.heard();
     const out: PartLoad[] = [];
     for (let part = 0; part < this.config.nodes; part++) {
       const own = this.#keeper.owned.get(part)?.part;
       const said = heard.flatMap((s) => s.parts).find((p) => p.part === part);
       const rooms = own === undefined ? (said?.rooms ?? []) : this.#rooms(part);
-      const load = own?.load(now) ?? said?.load ?? UNKNOWN_LOAD;
-      const fitting = rooms.filter((r) => roomFits(spec, r));
+      // Our own figures are as old as those of the others, at most a second: submissions are many.
+      const loads = own === undefined ? said?.loads : this.#loadsOf.get(part);
+      const load = loads?.[rank * 2 + Number(spec.spot)] ?? UNKNOWN_LOAD;
+      const fitting = rooms.filter((r) => r.rank === 0 && roomFits(spec, r));
       const hasImage = fitting.some((r) => r.images.includes(spec.image));
       out.push({ part, load, fitsNow: fitting.length > 0, hasImage });
     }
@@ -430,14 +449,15 @@
   }
 
   #roomElsewhere(spec: JobSpec, not: number): { part: number; tasks: number } | null {
+    const rank = PRIORITY_RANK[spec.priority];
     let best: { part: number; tasks: number; image: boolean } | null = null;
     const heard = this.#gossip.heard();
     for (let part = 0; part < this.config.nodes; part++) {
       if (part === not) continue;
       const said = heard.flatMap((s) => s.parts).find((p) => p.part === part);
-      // A part with tasks of its own waiting has no room to offer.
+      // A part with tasks of its own waiting, of this rank or above, has no room to offer.
       const own = this.#keeper.owned.get(part)?.part;
-      const waiting = own === undefined ? (said?.waiting ?? 1) : own.waiting();
+      const waiting = own === undefined ? (said?.waiting[rank] ?? 1) : own.waiting(rank);
       if (waiting > 0) continue;
       const rooms = (own === undefined ? (said?.rooms ?? []) : this.#rooms(part)).filter((r) =>
         roomFits(spec, r),
@@ -510,8 +530,11 @@
   }
 }
 
+const RANKS = Object.values(PRIORITY_RANK).sort((a, b) => a - b);
+
 const roomFits = (spec: JobSpec, r: RoomStatus): boolean =>
   fits(spec.demand, r) &&
+  PRIORITY_RANK[spec.priority] >= r.rank &&
   (spec.types === null || spec.types.includes(r.type)) &&
   (spec.zone === null || spec.zone === r.zone) &&
   (!r.spot || spec.spot);
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -12,8 +12,8 @@
   parts: [
     {
       part: 1,
-      load: 0.5,
-      waiting: 3,
+      loads: [0.5, 0.25],
+      waiting: [3, 1, 0, 0],
       rooms: [
         {
           cpus: 1,
@@ -23,6 +23,7 @@
           zone: 'z',
           spot: true,
           count: 3,
+          rank: 1,
           images: ['i', 'k'],
         },
       ],
