--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,11 +27,11 @@
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 120;
+export const SOON_MS = 200;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
-export const LOOP_MS = 250;
+export const LOOP_MS = 400;
 /** ms; completions collect this long so that those of one job share a write; users allow 3 s. */
 export const SAVE_MS = 200;
 /** ms; between writes of completions that end neither a job nor a range: nobody waits for them. */
--- a/src/http.ts
+++ b/src/http.ts
@@ -21,18 +21,24 @@
 
 const JUST_STATUS = new Set([204, 304]);
 
-/** Collects a stream up to `limit` bytes; null if it is longer. */
-export const collect = async (stream: Readable, limit: number): Promise<Buffer | null> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of stream) {
-    const part = chunk as Buffer;
-    size += part.length;
-    if (size > limit) return null;
-    chunks.push(part);
-  }
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size);
-};
+/** Collects a stream up to `limit` bytes; null if it is longer. By events: it is done for every request. */
+export const collect = (stream: Readable, limit: number): Promise<Buffer | null> =>
+  new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    stream.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limit) {
+        stream.pause();
+        resolve(null);
+      } else chunks.push(chunk);
+    });
+    stream.once('end', () =>
+      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size)),
+    );
+    stream.once('error', reject);
+    stream.once('close', () => reject(new Error('closed before its end')));
+  });
 
 /** Requests with CBOR bodies to one server, over connections that stay open. */
 export class CborClient {
