--- /dev/null
+++ b/test/budget.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import pino from 'pino';
+import { Completions } from '../src/completions.js';
+import type { PlatformConfig } from '../src/config/platform.js';
+import { HELD_READ_MS, MACHINES_MS, PROGRESS_MS, SAVE_MS } from '../src/constants.js';
+import type { Part } from '../src/core/part.js';
+import type { Owned } from '../src/keeper.js';
+import { MachineRecords } from '../src/machines.js';
+import type { Outcome } from '../src/state/client.js';
+import { Currency } from '../src/state/currency.js';
+import { encodeActive, encodeGroup } from '../src/state/keys.js';
+import { Mirror } from '../src/state/mirror.js';
+import type { Write } from '../src/wire/schemas.js';
+import { job, machine, partWith, Store } from './helpers.js';
+import { FakeWorker, Ground } from './standins/worker.js';
+
+/** What the state service is asked for, and how much of it: its limits are small and shared. */
+const CONFIG = {
+  stateLimits: { rps: 100, writeRps: 100, valueBytes: 8192, transactionOps: 8 },
+} as unknown as PlatformConfig;
+const LOG = pino({ level: 'silent' });
+
+const scene = () => {
+  const mirror = new Mirror();
+  const written: (readonly Write[])[] = [];
+  let epoch = 10;
+  const client = {
+    transact: (_c: unknown, _w: unknown, writes: readonly Write[]): Promise<Outcome> => {
+      written.push(writes);
+      epoch += 1;
+      return Promise.resolve({ ok: true, epoch });
+    },
+  };
+  const show = (changes: [string, unknown][]): void => {
+    mirror.apply({
+      fresh: true,
+      epoch,
+      whole: epoch,
+      changes: changes.map(([key, value], i) => ({ key, value, stamp: i + 1, removed: false })),
+    });
+  };
+  return { mirror, written, client, show };
+};
+const own = (part: Part): Owned => ({
+  part,
+  stamp: 1,
+  suspended: false,
+  saving: false,
+  lastSave: 0,
+  lastProgress: 0,
+  fresh: false,
+  claiming: new Set(),
+});
+
+test('a wave of boots costs one write, and so does one of returns', async () => {
+  const { mirror, written, client, show } = scene();
+  const names = Array.from({ length: 50 }, (_, i) => `m${i}`);
+  const hosts = new Map(names.map((n) => [n, false]));
+  const group = { part: 0, era: 1, type: 'm', zone: 'z', spot: false, hosts };
+  show([['machines/rental-1', encodeGroup(group)]]);
+  const store = new Store().add(...names.map((n) => machine(n, { up: false })));
+  const part = partWith(store);
+  for (const n of names) {
+    const w = new FakeWorker(n, new Ground(), 1000, 18_000, 0);
+    part.beat(w.report(), 0, true);
+    w.direct(1, 1, []);
+    part.inspected(w.report(), 1);
+  }
+  let now = 1000;
+  const records = new MachineRecords(CONFIG, client, mirror, () => now, LOG);
+  await records.tick(0, own(part), now);
+  assert.deepEqual(
+    written.map((w) => w.length),
+    [1],
+  );
+  assert.ok(names.every((n) => mirror.machines.get(n)?.value.up === true));
+  part.sync({ jobs: store.jobs, done: () => undefined, machines: mirror.machines }, now);
+  records.returned(names);
+  await records.tick(0, own(part), now);
+  assert.equal(written.length, 1, 'not at once: more may come');
+  now += MACHINES_MS;
+  await records.tick(0, own(part), now);
+  assert.deepEqual(written.slice(1), [[{ drop: 'machines/rental-1' }]]);
+  assert.equal(mirror.machines.size, 0);
+});
+
+test('completions of many arrays share a write, ends of jobs and ranges do not wait', async () => {
+  const { mirror, written, client, show } = scene();
+  const uids = Array.from({ length: 30 }, (_, i) => `job-${String(i).padStart(6, '0')}`);
+  const records = uids.map((uid) => job({ uid, tasks: 4 }));
+  show(records.map((r) => [`active/${r.spec.uid}`, encodeActive(r)]));
+  const part = partWith(new Store().add(...records));
+  const completions = new Completions(CONFIG, client, mirror, () => 0, LOG);
+  const owned = own(part);
+  const finish = (uid: string, index: number) => {
+    const j = part.jobs.get(uid)!;
+    j.waiting = j.waiting.filter((i) => i !== index);
+    j.unsaved.add(index);
+  };
+  for (const uid of uids) finish(uid, 0);
+  await completions.save(0, owned, SAVE_MS);
+  assert.equal(written.length, 0, 'nobody waits for a part of a range');
+  await completions.save(0, owned, PROGRESS_MS);
+  assert.deepEqual(
+    written.map((w) => w.length),
+    [1],
+    'one value for thirty ranges',
+  );
+  assert.ok(uids.every((uid) => mirror.done(0, uid, 0) === '8'));
+  assert.ok(uids.every((uid) => part.jobs.get(uid)!.saved.has(0)));
+
+  for (const i of [1, 2, 3]) finish(uids[0]!, i);
+  owned.lastSave = 0;
+  await completions.save(0, owned, PROGRESS_MS + SAVE_MS);
+  assert.deepEqual(written[1]?.map((w) => ('put' in w ? w.put : w.drop)).sort(), [
+    `active/${uids[0]}`,
+    `final/${uids[0]}`,
+  ]);
+});
+
+test('current answers: all questions of a moment share one read, whatever job they are about', async () => {
+  let now = 0;
+  const { mirror, show } = scene();
+  show([]);
+  let reads = 0;
+  let present = 10;
+  const client = {
+    get: () => {
+      reads += 1;
+      return Promise.resolve({ missing: true as const, epoch: present });
+    },
+  };
+  const currency = new Currency(client, mirror, () => now);
+  const ask = (count: number) => {
+    let answered = 0;
+    for (let i = 0; i < count; i++) void currency.wait().then(() => (answered += 1));
+    return () => answered;
+  };
+  // The feed's next read serves everybody who asked before it began, and nobody else.
+  const early = ask(200);
+  now = 10;
+  const late = ask(1);
+  mirror.apply({ fresh: false, epoch: 10, changes: [], began: 5 });
+  await sleep(0);
+  assert.deepEqual([early(), late(), reads], [200, 0, 0]);
+  // While the feed's read is held one small read tells the epoch; the mirror must then reach it.
+  currency.reading(10);
+  now = 10 + HELD_READ_MS;
+  present = 12;
+  await sleep(3 * HELD_READ_MS);
+  assert.deepEqual([late(), reads], [0, 1], 'the mirror is behind');
+  mirror.apply({ fresh: false, epoch: 12, changes: [], began: 0 });
+  await sleep(0);
+  assert.deepEqual([late(), reads], [1, 1]);
+  currency.close();
+});
--- /dev/null
+++ b/test/rooms.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { allowed } from '../src/core/allowed.js';
+import { fits, PRIORITY_RANK } from '../src/core/model.js';
+import { mostMatched } from '../src/core/placement.js';
+import { Rooms } from '../src/core/rooms.js';
+import { randomFrom } from '../src/random.js';
+import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
+import { FakeWorker, Ground } from './standins/worker.js';
+
+/** A part with machines of all kinds, each of which has answered, and some work on them. */
+const crowd = (random: (below: number) => number) => {
+  const store = new Store();
+  const names = Array.from({ length: 12 }, (_, i) => `m${i}`);
+  for (const n of names) {
+    store.add(machine(n, { spot: random(2) === 0, zone: random(2) === 0 ? 'y' : 'z' }));
+  }
+  for (let i = 0; i < 8; i++) {
+    const demand = { cpus: 1 + random(4), gpus: random(2), memoryGb: 1 + random(20) };
+    const priority = (['low', 'normal', 'high'] as const)[random(3)]!;
+    store.add(
+      job({ uid: `job-${i}`, demand, priority, tasks: 1 + random(3), spot: random(2) === 0 }),
+    );
+  }
+  const part = partWith(store);
+  for (const n of names) {
+    const w = new FakeWorker(n, new Ground(), 1e6, LEASE_MS, 0);
+    part.beat(w.report(), 0, false);
+    w.direct(1, 1, []);
+    part.inspected(w.report(), 1);
+    for (const image of ['i', 'k']) {
+      if (random(3) === 0) part.machines.get(n)!.images.set(image, 1);
+    }
+  }
+  part.placeAll(2);
+  return { store, part };
+};
+
+test('the machines of a pass give the same choice as a search through all of them', () => {
+  let found = 0;
+  let none = 0;
+  for (let seed = 1; seed <= 200; seed++) {
+    const random = randomFrom(seed);
+    const { store, part } = crowd(random);
+    const { books } = part;
+    const demand = { cpus: 1 + random(6), gpus: random(2), memoryGb: 1 + random(30) };
+    const more = {
+      uid: 'job-99',
+      demand,
+      image: ['i', 'k', 'l'][random(3)]!,
+      spot: random(2) === 0,
+      zone: [null, 'y', 'z'][random(3)]!,
+    };
+    store.add(job(more));
+    part.sync(store, 3);
+    const guest = part.jobs.get('job-99')!;
+    const candidates = [...part.machines.values()]
+      .filter((m) => fits(demand, m.free) && allowed(books, m, guest, 3))
+      .map((m) => ({ name: m.record.name, free: m.free, hasImage: m.images.has(more.image) }));
+    const held = candidates.filter((c) => c.hasImage);
+    const plain = mostMatched(held.length > 0 ? held : candidates, books.largest)?.name ?? null;
+    const rooms = new Rooms(books, demand, 3);
+    const chosen = rooms.best(guest, demand)?.record.name ?? null;
+    assert.equal(chosen, plain, `seed ${seed}`);
+    if (chosen === null) none += 1;
+    else found += 1;
+    // What one job could not get, a larger one of its kind is not offered, and rightly so.
+    if (chosen === null) rooms.noRoom(guest, 1);
+    assert.equal(rooms.hopeless(guest, 1), chosen === null || rooms.empty, `seed ${seed}`);
+  }
+  assert.ok(found > 50 && none > 20, `${found} found, ${none} not: the cases test nothing`);
+});
+
+test('the load of a part is what the job would have to wait behind: table', () => {
+  const half = { cpus: 4, gpus: 1, memoryGb: 8 };
+  const store = new Store().add(
+    machine('a'),
+    machine('b', { spot: true }),
+    job({ uid: 'job-1', priority: 'low', tasks: 4, demand: half }),
+    job({ uid: 'job-2', priority: 'normal', tasks: 1, demand: half, spot: false }),
+  );
+  const scene = (preempt: boolean) => {
+    const part = partWith(store, 1, { preempt });
+    for (const n of ['a', 'b']) {
+      const w = new FakeWorker(n, new Ground(), 1e6, LEASE_MS, 0);
+      part.beat(w.report(), 0, false);
+      w.direct(1, 1, []);
+      part.inspected(w.report(), 1);
+    }
+    part.placeAll(2);
+    return part;
+  };
+  const { low, normal, high } = PRIORITY_RANK;
+  const cases: [string, boolean, number, boolean, number][] = [
+    ['everything, on all machines', true, low, true, 5 / 4],
+    ['the same rank and above', true, normal, true, 1 / 4],
+    ['machines that it may use', true, normal, false, 1 / 2],
+    ['nothing of its rank', true, high, false, 0],
+    ['nothing gives way: everything counts', false, high, true, 5 / 4],
+  ];
+  for (const [name, preempt, rank, spot, want] of cases) {
+    assert.equal(scene(preempt).load(rank, spot, 3), want, name);
+  }
+  const part = scene(true);
+  assert.deepEqual(
+    part.displaceable(3).map(({ m, rank }) => [m.record.name, rank]),
+    [
+      ['a', high],
+      ['b', normal],
+    ],
+  );
+  assert.equal(part.waiting(normal), 0);
+  assert.equal(part.waiting(low), 1);
+});
