--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,7 +1,7 @@
 import { NO_AIM_S } from '../constants.js';
 import { taskKey, type Books, type JobState, type MachineState, type Placement } from './books.js';
 import type { Limits } from './limits.js';
-import { add, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
+import { add, fits, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
 import { complement, type TaskGroup } from './pairing.js';
 import type { Preemption } from './preemption.js';
 import { Rooms } from './rooms.js';
@@ -11,6 +11,9 @@
 
 /** The queue of a part, and where its tasks go. */
 export class Placing {
+  /** the last full pass: who found no room, and what the least demand was */
+  #last: { stuck: JobState[]; least: Resources } | null = null;
+
   constructor(
     private readonly books: Books,
     private readonly limits: Limits,
@@ -33,7 +36,7 @@
    * due time stays once its aims are missed, so no stream of newer work can keep it waiting.
    */
   queue(now: number): JobState[] {
-    const rebuilt = this.books.rebuilt;
+    const { rebuilt } = this.books;
     const aimsOf = new Map<string, readonly number[]>();
     const open: { job: JobState; guaranteed: boolean; due: number }[] = [];
     for (const job of this.books.jobs.values()) {
@@ -72,8 +75,11 @@
   placeAll(now: number): JobState[] {
     this.#dropHolds();
     const queue = this.queue(now);
+    this.#last = null;
     if (queue.length === 0) return [];
-    const stuck = this.#place(queue, new Rooms(this.books, leastOf(queue), now));
+    const least = leastOf(queue);
+    const stuck = this.#place(queue, new Rooms(this.books, least, now));
+    this.#last = { stuck, least };
     const noRoom = new Set(stuck);
     for (const job of queue) job.stuckSince = noRoom.has(job) ? (job.stuckSince ?? now) : null;
     this.preemption.makeRoom(stuck, now);
@@ -81,13 +87,18 @@
   }
 
   /**
-   * Gives room on one machine to the queue. Between two full passes nothing else has become free, so
-   * whatever is placed would be placed here by a full pass as well.
+   * Gives room on one machine to the jobs that found none in the last full pass. What has come to
+   * wait since then is looked at in the next one, which is never far away.
    */
   placeOn(m: MachineState, now: number): void {
-    if (!this.books.usable(m, now)) return;
-    const queue = this.queue(now);
-    if (queue.length > 0) this.#place(queue, new Rooms(this.books, leastOf(queue), now, m));
+    if (this.#last === null || !fits(this.#last.least, m.free)) return;
+    const queue = this.#last.stuck.filter((job) => this.#open(job, now));
+    if (queue.length > 0) this.#place(queue, new Rooms(this.books, this.#last.least, now, m));
+  }
+
+  #open(job: JobState, now: number): boolean {
+    if (job.over || job.waiting.length === 0 || job.broken || job.pausedUntil > now) return false;
+    return job.inherited.size === 0 || this.books.rebuilt;
   }
 
   #place(queue: readonly JobState[], rooms: Rooms): JobState[] {
