--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,11 +27,11 @@
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 200;
+export const SOON_MS = 250;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
-export const LOOP_MS = 400;
+export const LOOP_MS = 500;
 /** ms; completions collect this long so that those of one job share a write; users allow 3 s. */
 export const SAVE_MS = 200;
 /** ms; between writes of completions that end neither a job nor a range: nobody waits for them. */
@@ -67,7 +67,7 @@
 /** ms; taken off a lease's end, for the time between checking authority and acting on it. */
 export const LEASE_MARGIN_MS = 500;
 /** ms; a watch is opened again no sooner than this: each opening counts as a request. */
-export const FOLLOW_PAUSE_MS = 250;
+export const FOLLOW_PAUSE_MS = 400;
 /** ms; how long a watch blocks. A held watch shows an outage only by its end, so not for long. */
 export const FOLLOW_BLOCK_MS = 10_000;
 /** items in one page of a listing; the service returns no more than 1,000. */
