--- a/src/constants.ts
+++ b/src/constants.ts
@@ -140,6 +140,8 @@
 /** share of the time for a cancellation after which a task that was told to stop and still runs
  * costs its machine: the rest is for the cloud's answer, and for asking again. */
 export const STOP_PATIENCE = 0.5;
+/** share of a part's machines on which more gangs than the first may wait for the rest of theirs. */
+export const COLLECT_SHARE = 0.06;
 /** stuck jobs for which room is sought in one pass: each looks at every machine of the part. */
 export const ROOM_TRIES = 8;
 /** distinct jobs that must fail on a machine, without a success between, to condemn it. */
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,4 +1,4 @@
-import { HOLD_MS, ROOM_TRIES } from '../constants.js';
+import { COLLECT_SHARE, HOLD_MS, ROOM_TRIES } from '../constants.js';
 import { allowed } from './allowed.js';
 import type { Books, JobState, MachineState, Placement } from './books.js';
 import type { Limits } from './limits.js';
@@ -24,12 +24,13 @@
   ) {}
 
   /**
-   * For the jobs that found no room, in the queue's order. At most one gang at a time collects free
-   * machines without having enough in sight: so every gang gets its machines at some time, however
-   * many smaller jobs there are, and no more than one gang's machines stand idle for it.
+   * For the jobs that found no room, in the queue's order. The first gangs collect machines without
+   * having enough in sight: so every gang gets its machines at some time, however many smaller jobs
+   * there are. One gang always may, more of them only on a small share of the part's machines.
    */
   makeRoom(stuck: readonly JobState[], now: number): void {
-    let collecting: JobState | null = null;
+    const collecting = new Set<string>();
+    let left = Math.floor(this.books.machines.size * COLLECT_SHARE);
     let tries = 0;
     const lowest = this.#lowestRank();
     for (const job of stuck) {
@@ -41,16 +42,17 @@
         if (!mayStop) continue;
         tries += 1;
         this.#reserve(job, 1, mayStop, now);
-      } else if (job.placed.size === 0 && (mayStop || collecting === null)) {
+      } else if (job.placed.size === 0 && (mayStop || collecting.size === 0 || left > 0)) {
         tries += 1;
         const enough = this.#reserve(job, job.waiting.length, mayStop, now);
-        if (!enough) collecting ??= job;
+        if (enough || (collecting.size > 0 && left <= 0)) continue;
+        collecting.add(job.spec.uid);
+        left -= this.#collect(job, now);
       }
     }
     for (const m of this.books.machines.values()) {
-      if (m.hold?.partial === true && m.hold.uid !== collecting?.spec.uid) m.hold = null;
+      if (m.hold?.partial === true && !collecting.has(m.hold.uid)) m.hold = null;
     }
-    if (collecting !== null) this.#collect(collecting, now);
   }
 
   #lowestRank(): number {
@@ -113,7 +115,7 @@
    * Holds machines for a gang that cannot have enough yet: those that are free, then those that will
    * be soonest, so that nothing new starts there and they run empty. All in one zone if it must be.
    */
-  #collect(job: JobState, now: number): void {
+  #collect(job: JobState, now: number): number {
     const { uid, oneZone, demand } = job.spec;
     const options: (Option & { readonly held: boolean })[] = [];
     for (const m of this.books.machines.values()) {
@@ -133,11 +135,14 @@
     // What is held already stays so: changing over would start anew each time.
     usable.sort((x, y) => Number(y.held) - Number(x.held) || x.loss - y.loss);
     let open = job.waiting.length;
+    let machines = 0;
     for (const o of usable) {
-      if (open <= 0) return;
+      if (open <= 0) break;
       o.m.hold = { uid, until: now + HOLD_MS, partial: true };
       open -= o.slots;
+      machines += 1;
     }
+    return machines;
   }
 
   /** Seconds until what runs there has ended, by the owners' estimates. */
