--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -229,12 +229,18 @@
   const pendingCount = input.pending.reduce((sum, p) => sum + p.count, 0);
   let room = Math.ceil(input.machinesMost / input.parts) - staying.length - pendingCount;
   let capped = 0;
+  const asked = (name: string, zone: string, spot: boolean) =>
+    input.pending.some((p) => p.type === name && p.zone === zone && p.spot === spot);
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
     const inZone = (z: string) => staying.filter((m) => m.record.zone === z).length;
-    const zones = input.zones
+    const open = input.zones
       .filter((z) => (only === null || z === only) && type.zones.includes(z))
-      .filter((z) => !input.refused(type.name, z, spot))
+      .filter((z) => !input.refused(type.name, z, spot));
+    // Calls to the cloud are few: what is missing while one is under way goes into the next.
+    const zones = open
+      .filter((z) => !asked(type.name, z, spot))
       .sort((a, b) => inZone(a) - inZone(b) || (a < b ? -1 : 1));
+    if (open.length > 0 && zones.length === 0) return count;
     const n = Math.max(0, Math.min(count, room));
     if (zones.length > 0) capped += count - n;
     if (n <= 0 || zones.length === 0) return 0;
