--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -570,6 +570,16 @@
     return out;
   }
 
+  /** Tasks of each class, waiting or placed. */
+  busy(): { jobClass: string; tasks: number }[] {
+    const out = new Map<string, number>();
+    for (const { spec, over, waiting, placed } of this.jobs.values()) {
+      if (over) continue;
+      out.set(spec.jobClass, (out.get(spec.jobClass) ?? 0) + waiting.length + placed.size);
+    }
+    return [...out].map(([jobClass, tasks]) => ({ jobClass, tasks }));
+  }
+
   /** Machines that could take a task now, for the routing of other nodes. */
   rooms(now: number): MachineState[] {
     // Every task takes some CPU and memory, so a machine without either has no room.
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -18,6 +18,8 @@
   readonly zones: readonly string[];
   readonly objectives: readonly Objective[];
   readonly stats: ReadonlyMap<string, ClassStats>;
+  /** tasks of each class in the other parts, waiting or placed */
+  readonly elsewhere: ReadonlyMap<string, number>;
   /** rentals asked for but not answered */
   readonly pending: readonly RentWish[];
   /** true while the cloud has said "no capacity" for this kind lately */
@@ -125,14 +127,17 @@
     const perMachine = Math.max(1, timesIn(need.spec.demand, need.type));
     const whole = (s?.tasksPerS ?? 0) * runS;
     const atOnce = whole / input.parts;
+    const elsewhere = input.elsewhere.get(name) ?? 0;
     const busy = need.running + need.waiting;
     const t = out.get(need.type.name) ?? { ordinary: 0, spot: 0, instead: 0 };
     out.set(need.type.name, t);
     let soon: number;
     let patient: number;
     if (isUrgent(name, input.objectives, need.type.bootS) || need.spec.kind !== 'array') {
-      const reserve = (input.reserveSigma * Math.sqrt(whole)) / input.parts;
-      soon = patient = Math.max(busy, atOnce + reserve);
+      // What is to be kept beyond the work that is there is shared by the parts: if each kept its
+      // share of the whole, the parts with more work than others would come on top.
+      const kept = whole + input.reserveSigma * Math.sqrt(whole) - busy - elsewhere;
+      soon = patient = busy + Math.max(0, kept) / input.parts;
       if (input.part.preempts) slack += Math.max(0, soon - busy) / perMachine;
     } else {
       // Half of the running work is still to be done.
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -148,6 +148,9 @@
   displaceable(now: number): { m: MachineState; rank: number }[] {
     return this.books.displaceable(now);
   }
+  busy(): { jobClass: string; tasks: number }[] {
+    return this.books.busy();
+  }
   rooms(now: number): MachineState[] {
     return this.books.rooms(now);
   }
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -32,6 +32,7 @@
     rooms: RoomStatus[];
     /** tasks of a rank or a higher one that wait for room, by rank */
     waiting: number[];
+    busy: { jobClass: string; tasks: number }[];
     images: { machine: string; images: string[]; gb: number[] }[];
   }[];
   jobs: { uid: string; running: number; done: number; part: number }[];
--- a/src/service.ts
+++ b/src/service.ts
@@ -131,6 +131,7 @@
       this.#mirror,
       this.#keeper,
       this.#learning,
+      (part) => this.#busyElsewhere(part),
       () => this.#types,
       this.#now,
       timeOfDayMs,
@@ -389,7 +390,7 @@
       const loads = RANKS.flatMap((r) => [part.load(r, false, now), part.load(r, true, now)]);
       this.#loadsOf.set(index, loads);
       const waiting = RANKS.map((r) => part.waiting(r));
-      parts.push({ part: index, loads, rooms, waiting, images });
+      parts.push({ part: index, loads, rooms, waiting, images, busy: part.busy() });
       for (const job of detailed ? part.jobs.values() : []) {
         const done = job.saved.size + job.unsaved.size;
         const running = [...job.placed.values()].filter((p) => p.state === 'running').length;
@@ -470,6 +471,21 @@
     return best;
   }
 
+  /** Tasks of each class in all parts but one. */
+  #busyElsewhere(not: number): Map<string, number> {
+    const out = new Map<string, number>();
+    const heard = this.#gossip.heard();
+    for (let part = 0; part < this.config.nodes; part++) {
+      if (part === not) continue;
+      const own = this.#keeper.owned.get(part)?.part;
+      const said = heard.flatMap((s) => s.parts).find((p) => p.part === part);
+      for (const { jobClass, tasks } of own?.busy() ?? said?.busy ?? []) {
+        out.set(jobClass, (out.get(jobClass) ?? 0) + tasks);
+      }
+    }
+    return out;
+  }
+
   #progress(uid: string): { done: number; running: number } {
     let done = 0;
     let running = 0;
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -20,6 +20,7 @@
     { kind: 'finished', jobClass: 'c', withinS: 300, share: 0.9 },
   ],
   stats: new Map(),
+  elsewhere: new Map(),
   pending: [],
   refused: () => false,
   reserveSigma: 1,
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -27,6 +27,7 @@
           images: ['i', 'k'],
         },
       ],
+      busy: [{ jobClass: 'c', tasks: 4 }],
       images: [{ machine: 'x', images: ['i'], gb: [7.5] }],
     },
   ],
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -18,6 +18,7 @@
     zones: ['z'],
     objectives: [],
     stats: new Map(),
+    elsewhere: new Map(),
     pending: [],
     refused: () => true,
     reserveSigma: 1,
