--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -68,6 +68,8 @@
   pausedUntil: number;
   failures: number;
   readonly avoid: Map<string, number>;
+  /** by when its tasks should start, steady ms, as of the last look at the queue */
+  due: number;
   /** a gang that lost a task: nothing starts before all of it is gone */
   broken: boolean;
   /** since when tasks wait without room, steady ms */
@@ -293,6 +295,7 @@
         pausedUntil: -Infinity,
         failures: 0,
         avoid: new Map(),
+        due: Infinity,
         broken: false,
         stuckSince: null,
         passing: [],
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,4 +1,4 @@
-import { NO_AIM_S } from '../constants.js';
+import { BEGIN_MS, NO_AIM_S } from '../constants.js';
 import { taskKey, type Books, type JobState, type MachineState, type Placement } from './books.js';
 import type { Limits } from './limits.js';
 import { add, fits, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
@@ -49,6 +49,7 @@
         aimsOf.set(jobClass, aims);
       }
       const due = this.#due(job, aims, now);
+      job.due = due;
       open.push({ job, guaranteed: this.limits.guaranteed(job), due });
     }
     open.sort(
@@ -92,10 +93,33 @@
    */
   placeOn(m: MachineState, now: number): void {
     if (this.#last === null || !fits(this.#last.least, m.free)) return;
-    const queue = this.#last.stuck.filter((job) => this.#open(job, now));
+    const open = this.#last.stuck.filter((job) => this.#open(job, now));
+    const queue = this.#imagesFirst(open, m, now);
     if (queue.length > 0) this.#place(queue, new Rooms(this.books, this.#last.least, now, m));
   }
 
+  /**
+   * Exception: of arrays of the same rank those whose image the machine holds come first, since a
+   * slot does nothing useful while it fetches. A job that is due, or has waited long for its first
+   * task, is never passed over for that.
+   */
+  #imagesFirst(queue: readonly JobState[], m: MachineState, now: number): JobState[] {
+    const out: JobState[] = [];
+    for (let at = 0; at < queue.length;) {
+      const { rank } = queue[at]!;
+      const later: JobState[] = [];
+      for (; at < queue.length && queue[at]!.rank === rank; at++) {
+        const job = queue[at]!;
+        const begun = job.placed.size + job.saved.size + job.unsaved.size > 0;
+        const patient = job.due > now && (begun || now - job.seenAt < BEGIN_MS);
+        const passed = job.spec.kind !== 'gang' && patient && !m.images.has(job.spec.image);
+        (passed ? later : out).push(job);
+      }
+      out.push(...later);
+    }
+    return out;
+  }
+
   #open(job: JobState, now: number): boolean {
     if (job.over || job.waiting.length === 0 || job.broken || job.pausedUntil > now) return false;
     return job.inherited.size === 0 || this.books.rebuilt;
