--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -43,7 +43,7 @@
 
 /** The package's root, from wherever this file was compiled to. */
 const protoFile = (): string => {
-  for (const up of ['../../src/peers/', '../../../../src/peers/', './']) {
+  for (const up of ['../../src/peers/', '../../../../src/peers/', '../src/peers/', './']) {
     const file = fileURLToPath(new URL(`${up}peers.proto`, import.meta.url));
     try {
       return readFileSync(file, 'utf8');
