--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,11 +27,11 @@
 
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
-export const SOON_MS = 120;
+export const SOON_MS = 250;
 /** share; steady clocks drift by up to 0.05 % each, so two of them differ by at most twice that. */
 export const CLOCK_DRIFT = 0.001;
 /** ms; the wanted state is compared with what is this often. */
-export const LOOP_MS = 250;
+export const LOOP_MS = 500;
 /** ms; completions collect this long so that those of one job share a write; users allow 3 s. */
 export const SAVE_MS = 200;
 /** ms; between writes of completions that end neither a job nor a range: nobody waits for them. */
@@ -67,7 +67,7 @@
 /** ms; taken off a lease's end, for the time between checking authority and acting on it. */
 export const LEASE_MARGIN_MS = 500;
 /** ms; a watch is opened again no sooner than this: each opening counts as a request. */
-export const FOLLOW_PAUSE_MS = 250;
+export const FOLLOW_PAUSE_MS = 400;
 /** ms; how long a watch blocks. A held watch shows an outage only by its end, so not for long. */
 export const FOLLOW_BLOCK_MS = 10_000;
 /** items in one page of a listing; the service returns no more than 1,000. */
@@ -140,6 +140,8 @@
 /** share of the time for a cancellation after which a task that was told to stop and still runs
  * costs its machine: the rest is for the cloud's answer, and for asking again. */
 export const STOP_PATIENCE = 0.5;
+/** share of a part's machines on which more gangs than the first may wait for the rest of theirs. */
+export const COLLECT_SHARE = 0.06;
 /** stuck jobs for which room is sought in one pass: each looks at every machine of the part. */
 export const ROOM_TRIES = 8;
 /** distinct jobs that must fail on a machine, without a success between, to condemn it. */
@@ -162,6 +164,8 @@
 export const UNKNOWN_LOAD = 0.85;
 /** ranges of one job: its record must stay well within a value of the state service. */
 export const RANGES_MOST = 64;
+/** ms; a job none of whose tasks has begun by then is not passed over any more. */
+export const BEGIN_MS = 60_000;
 /** s; a job without aims or deadline comes after those of its rank that have one this soon. */
 export const NO_AIM_S = 600;
 /** tasks; a range is not cut smaller than this, since each range costs writes of its own. */
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -18,6 +18,8 @@
   readonly zones: readonly string[];
   readonly objectives: readonly Objective[];
   readonly stats: ReadonlyMap<string, ClassStats>;
+  /** tasks of each class in the other parts, waiting or placed */
+  readonly elsewhere: ReadonlyMap<string, number>;
   /** rentals asked for but not answered */
   readonly pending: readonly RentWish[];
   /** true while the cloud has said "no capacity" for this kind lately */
@@ -125,14 +127,17 @@
     const perMachine = Math.max(1, timesIn(need.spec.demand, need.type));
     const whole = (s?.tasksPerS ?? 0) * runS;
     const atOnce = whole / input.parts;
+    const elsewhere = input.elsewhere.get(name) ?? 0;
     const busy = need.running + need.waiting;
     const t = out.get(need.type.name) ?? { ordinary: 0, spot: 0, instead: 0 };
     out.set(need.type.name, t);
     let soon: number;
     let patient: number;
     if (isUrgent(name, input.objectives, need.type.bootS) || need.spec.kind !== 'array') {
-      const reserve = (input.reserveSigma * Math.sqrt(whole)) / input.parts;
-      soon = patient = Math.max(busy, atOnce + reserve);
+      // What is to be kept beyond the work that is there is shared by the parts: if each kept its
+      // share of the whole, the parts with more work than others would come on top.
+      const kept = whole + input.reserveSigma * Math.sqrt(whole) - busy - elsewhere;
+      soon = patient = busy + Math.max(0, kept) / input.parts;
       if (input.part.preempts) slack += Math.max(0, soon - busy) / perMachine;
     } else {
       // Half of the running work is still to be done.
@@ -229,12 +234,18 @@
   const pendingCount = input.pending.reduce((sum, p) => sum + p.count, 0);
   let room = Math.ceil(input.machinesMost / input.parts) - staying.length - pendingCount;
   let capped = 0;
+  const asked = (name: string, zone: string, spot: boolean) =>
+    input.pending.some((p) => p.type === name && p.zone === zone && p.spot === spot);
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
     const inZone = (z: string) => staying.filter((m) => m.record.zone === z).length;
-    const zones = input.zones
+    const open = input.zones
       .filter((z) => (only === null || z === only) && type.zones.includes(z))
-      .filter((z) => !input.refused(type.name, z, spot))
+      .filter((z) => !input.refused(type.name, z, spot));
+    // Calls to the cloud are few: what is missing while one is under way goes into the next.
+    const zones = open
+      .filter((z) => !asked(type.name, z, spot))
       .sort((a, b) => inZone(a) - inZone(b) || (a < b ? -1 : 1));
+    if (open.length > 0 && zones.length === 0) return count;
     const n = Math.max(0, Math.min(count, room));
     if (zones.length > 0) capped += count - n;
     if (n <= 0 || zones.length === 0) return 0;
