--- a/src/constants.ts
+++ b/src/constants.ts
@@ -20,6 +20,8 @@
 export const USER_WAITING_LIMIT = 200;
 /** ms; a submission whose write would wait longer than this is refused at once. */
 export const SUBMIT_WAIT_MS = 900;
+/** ms; a job that was told to come back is expected for this long: most are back by then. */
+export const SENT_AWAY_MS = 4000;
 /** s; what a refused user is told to wait: long enough that a wave of retries spreads out. */
 export const RETRY_AFTER_S = { least: 1, most: 15, spread: 3 } as const;
 /** final states kept in memory; at about 100 bytes each this stays below 3 MB. */
@@ -216,7 +218,7 @@
 /** ms; a machine that nobody recorded is adopted after this: its renter usually does it sooner. */
 export const ADOPT_MS = 4000;
 /** ms; the least time between two rental decisions of a part. */
-export const RENT_MS = 1000;
+export const RENT_MS = 2000;
 
 // --- learning -----------------------------------------------------------------------------------
 /** jobs remembered against counting twice */
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -20,6 +20,8 @@
   readonly stats: ReadonlyMap<string, ClassStats>;
   /** tasks of each class in the other parts, waiting or placed */
   readonly elsewhere: ReadonlyMap<string, number>;
+  /** jobs that were told to come back: their machines are rented before they are accepted */
+  readonly expected: readonly JobSpec[];
   /** rentals asked for but not answered */
   readonly pending: readonly RentWish[];
   /** true while the cloud has said "no capacity" for this kind lately */
@@ -83,18 +85,21 @@
 
 const needsByClass = (input: CapacityInput): Map<string, ClassNeed> => {
   const needs = new Map<string, ClassNeed>();
-  for (const { spec, over, placed, waiting } of input.part.jobs.values()) {
-    if (over) continue;
+  const note = (spec: JobSpec, running: number, waiting: number): void => {
     let need = needs.get(spec.jobClass);
     if (need === undefined) {
       const type = cheapest(spec, input.types.values());
-      if (type === null) continue;
+      if (type === null) return;
       need = { spec, type, running: 0, waiting: 0 };
       needs.set(spec.jobClass, need);
     }
-    need.running += placed.size;
-    need.waiting += waiting.length;
+    need.running += running;
+    need.waiting += waiting;
+  };
+  for (const { spec, over, placed, waiting } of input.part.jobs.values()) {
+    if (!over) note(spec, placed.size, waiting.length);
   }
+  for (const spec of input.expected) note(spec, 0, spec.tasks);
   // Classes known from other parts or earlier times need their reserve here as well.
   for (const [name, s] of input.stats) {
     if (needs.has(name) || s.sample === null) continue;
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -15,7 +15,7 @@
 import { planCapacity } from './core/capacity.js';
 import { partOfMachine } from './core/jobs.js';
 import type { Learning } from './core/learning.js';
-import type { MachineType, Report } from './core/model.js';
+import type { JobSpec, MachineType, Report } from './core/model.js';
 import type { Keeper, Owned } from './keeper.js';
 import { CALL, StateTrouble, type StateClient } from './state/client.js';
 import { key, type HireRecord } from './state/keys.js';
@@ -50,6 +50,8 @@
     private readonly keeper: Keeper,
     private readonly learning: Learning,
     private readonly elsewhere: (part: number) => ReadonlyMap<string, number>,
+    /** jobs that will be submitted again here or elsewhere */
+    private readonly expected: () => readonly JobSpec[],
     private readonly types: () => ReadonlyMap<string, MachineType> | null,
     private readonly now: () => number,
     private readonly nowOfDay: () => number,
@@ -89,6 +91,7 @@
       objectives: this.config.objectives,
       stats: this.learning.stats(this.nowOfDay() / 1000),
       elsewhere: this.elsewhere(index),
+      expected: index === [...this.keeper.owned.keys()][0] ? this.expected() : [],
       pending,
       refused: (type, zone, spot) => (this.#refused.get(`${type} ${zone} ${spot}`) ?? 0) > now,
       reserveSigma: this.operator.reserveSigma,
--- a/src/service.ts
+++ b/src/service.ts
@@ -132,6 +132,7 @@
       this.#keeper,
       this.#learning,
       (part) => this.#busyElsewhere(part),
+      () => this.#jobs.sentAway(),
       () => this.#types,
       this.#now,
       timeOfDayMs,
@@ -150,6 +151,7 @@
       config.teams,
       config.nodes,
       operator.loadThreshold,
+      this.#now,
     );
     this.#mirror.on('change', () => this.#tickSoon());
   }
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -2,6 +2,7 @@
   CANCEL_TRIES,
   LOAD_PER_RANGE,
   NAME_LIMIT,
+  SENT_AWAY_MS,
   SUBMIT_WAIT_MS,
   TYPE_LIST_BYTES,
 } from '../constants.js';
@@ -47,6 +48,7 @@
 export class Jobs {
   readonly #reads: SharedReads;
   /** submissions on their way: a repeat joins its first try instead of costing another write */
+  readonly #sentAway = new Map<string, { spec: JobSpec; at: number }>();
   readonly #submitting = new Map<string, Promise<Submitted>>();
 
   constructor(
@@ -57,10 +59,25 @@
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly parts: number,
     private readonly loadThreshold: number,
+    private readonly now: () => number,
   ) {
     this.#reads = new SharedReads(client);
   }
 
+  /**
+   * Jobs that were lately told to come back, for want of writes. They will come, so machines for them
+   * can be rented already; those of a moment ago have come to another node by now.
+   */
+  sentAway(): JobSpec[] {
+    const since = this.now() - SENT_AWAY_MS;
+    const out: JobSpec[] = [];
+    for (const [uid, { spec, at }] of this.#sentAway) {
+      if (at < since || this.mirror.tables['active/'].has(uid)) this.#sentAway.delete(uid);
+      else out.push(spec);
+    }
+    return out;
+  }
+
   /** True if the job's final state is known here: it needs no read, not even in an outage. */
   isFinal(uid: string): boolean {
     return this.mirror.finals.has(uid);
@@ -108,8 +125,10 @@
     // What would only be refused after a wait is refused at once.
     const waitMs = this.client.expectedMs(CALL.acceptance);
     if (waitMs > SUBMIT_WAIT_MS) {
+      this.#sentAway.set(spec.uid, { spec, at: this.now() });
       return { kind: 'undecided', reason: 'more submissions than can be written', waitMs };
     }
+    this.#sentAway.delete(spec.uid);
     const ranges = this.#route(spec);
     if (ranges === null) return { kind: 'undecided', reason: 'parts have no owner yet' };
     const record: JobRecord = { spec: this.#compact(spec, types), at: nowMs, ranges };
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -21,6 +21,7 @@
   ],
   stats: new Map(),
   elsewhere: new Map(),
+  expected: [],
   pending: [],
   refused: () => false,
   reserveSigma: 1,
@@ -82,6 +83,11 @@
       ),
       ['1 spot z', '2 spot y'],
     ],
+    [
+      'a job that was told to come back',
+      input(new Store(), { expected: [spec({ ...long, ...whole, tasks: 3 })] }),
+      ['1 spot z', '2 spot y'],
+    ],
     [
       'the limit',
       input(new Store().add(job({ ...long, tasks: 50 })), { machinesMost: 1 }),
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -19,6 +19,7 @@
     objectives: [],
     stats: new Map(),
     elsewhere: new Map(),
+    expected: [],
     pending: [],
     refused: () => true,
     reserveSigma: 1,
