--- a/src/constants.ts
+++ b/src/constants.ts
@@ -166,8 +166,8 @@
 export const UNKNOWN_LOAD = 0.85;
 /** ranges of one job: its record must stay well within a value of the state service. */
 export const RANGES_MOST = 64;
-/** ms; a job none of whose tasks has begun by then is not passed over any more. */
-export const BEGIN_MS = 60_000;
+/** ms; a job none of whose tasks has begun by then goes before newer ones, whatever their aims. */
+export const BEGIN_MS = 90_000;
 /** s; a job without aims or deadline comes after those of its rank that have one this soon. */
 export const NO_AIM_S = 600;
 /** tasks; a range is not cut smaller than this, since each range costs writes of its own. */
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -33,7 +33,8 @@
 
   /**
    * Jobs with tasks to place, most urgent first: rank, then guarantee, then due time and age. A job's
-   * due time stays once its aims are missed, so no stream of newer work can keep it waiting.
+   * due time stays once its aims are missed, and until something of it has begun it is at most
+   * `BEGIN_MS` after acceptance, so no stream of newer work can keep it waiting.
    */
   queue(now: number): JobState[] {
     const { rebuilt } = this.books;
@@ -48,7 +49,10 @@
         aims = this.books.settings.startWithin(jobClass);
         aimsOf.set(jobClass, aims);
       }
-      const due = this.#due(job, aims, now);
+      // Whoever has begun may wait for the next aim after one is missed; whoever has not keeps its
+      // place, or newer work would pass it over again and again.
+      const latest = hasBegun(job) ? Infinity : job.seenAt + BEGIN_MS;
+      const due = Math.min(this.#due(job, aims, now), latest);
       job.due = due;
       open.push({ job, guaranteed: this.limits.guaranteed(job), due });
     }
@@ -110,9 +114,8 @@
       const later: JobState[] = [];
       for (; at < queue.length && queue[at]!.rank === rank; at++) {
         const job = queue[at]!;
-        const begun = job.placed.size + job.saved.size + job.unsaved.size > 0;
-        const patient = job.due > now && (begun || now - job.seenAt < BEGIN_MS);
-        const passed = job.spec.kind !== 'gang' && patient && !m.images.has(job.spec.image);
+        const patient = job.spec.kind !== 'gang' && job.due > now;
+        const passed = patient && !m.images.has(job.spec.image);
         (passed ? later : out).push(job);
       }
       out.push(...later);
@@ -243,6 +246,10 @@
   }
 }
 
+/** Some task of it is or was on a machine. */
+const hasBegun = (job: JobState): boolean =>
+  job.placed.size + job.saved.size + job.unsaved.size > 0;
+
 /** What every job of the queue asks for at least. */
 const leastOf = (queue: readonly JobState[]): Resources => {
   const least = { ...queue[0]!.spec.demand };
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -269,6 +269,23 @@
   assert.deepEqual(part.jobs.get('job-000001')?.waiting, [0, 1, 2, 3]);
 });
 
+test('a job that missed an aim is not passed over by newer ones until it has begun', () => {
+  const store = new Store().add(machine('a'));
+  // Room for one job at a time; the aims are 60 s and 300 s after acceptance.
+  const whole = { cpus: 8, gpus: 2, memoryGb: 8 };
+  const part = partWith(store, 1, { startWithin: () => [60, 300] });
+  store.add(job({ uid: 'job-000001', demand: whole }));
+  part.sync(store, 0);
+  for (const seconds of [100, 110, 120]) {
+    store.add(job({ uid: `job-${seconds}`, demand: whole }));
+    part.sync(store, seconds * 1000);
+  }
+  const first = (now: number) => part.queue(now)[0]?.spec.uid;
+  assert.equal(first(50_000), 'job-000001');
+  // Its next aim is at 300 s, those of the others at 160 s and later: but it has not begun.
+  assert.equal(first(121_000), 'job-000001');
+});
+
 test('a gang that is stopped to save is told as a whole', () => {
   const ground = new Ground();
   const store = new Store().add(
