--- a/src/constants.ts
+++ b/src/constants.ts
@@ -20,6 +20,8 @@
 export const USER_WAITING_LIMIT = 200;
 /** ms; a submission whose write would wait longer than this is refused at once. */
 export const SUBMIT_WAIT_MS = 900;
+/** ms; a job that was told to come back is expected for this long: most are back by then. */
+export const SENT_AWAY_MS = 4000;
 /** s; what a refused user is told to wait: long enough that a wave of retries spreads out. */
 export const RETRY_AFTER_S = { least: 1, most: 15, spread: 3 } as const;
 /** final states kept in memory; at about 100 bytes each this stays below 3 MB. */
@@ -164,8 +166,8 @@
 export const UNKNOWN_LOAD = 0.85;
 /** ranges of one job: its record must stay well within a value of the state service. */
 export const RANGES_MOST = 64;
-/** ms; a job none of whose tasks has begun by then is not passed over any more. */
-export const BEGIN_MS = 60_000;
+/** ms; a job none of whose tasks has begun by then goes before newer ones, whatever their aims. */
+export const BEGIN_MS = 90_000;
 /** s; a job without aims or deadline comes after those of its rank that have one this soon. */
 export const NO_AIM_S = 600;
 /** tasks; a range is not cut smaller than this, since each range costs writes of its own. */
@@ -216,7 +218,7 @@
 /** ms; a machine that nobody recorded is adopted after this: its renter usually does it sooner. */
 export const ADOPT_MS = 4000;
 /** ms; the least time between two rental decisions of a part. */
-export const RENT_MS = 1000;
+export const RENT_MS = 2000;
 
 // --- learning -----------------------------------------------------------------------------------
 /** jobs remembered against counting twice */
