--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,5 +1,5 @@
 import { parse } from 'ini';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ConfigError, describe, readText } from './platform.js';
 
 const range = (least: number, most: number, fallback: number) =>
--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Objective, Team } from '../core/model.js';
 
 /** A problem with a settings file, ready to be shown: one line for each key. */
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -135,6 +135,10 @@
 export const LOST_REPORTS = 4.5;
 /** s; a stop whose task still runs after its grace and this is repeated with no grace. */
 export const STOP_OVERDUE_S = 6;
+/** ms; a worker is told to forget completed tasks after this at the latest; it lists them until then. */
+export const FORGET_AFTER_MS = 20_000;
+/** tasks; with so many completed ones in its list a worker is told at once: reports stay short. */
+export const FORGET_MOST = 16;
 /** orders in a row without effect after which a machine counts as one that hears nothing. */
 export const IGNORED_ORDERS = 2;
 /** report intervals after which a machine that hears nothing is returned to the cloud. */
--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -107,6 +107,8 @@
   /** reported tasks that have no place in our books and are being stopped */
   foreign: number;
   foreignSince: number | null;
+  /** since when the worker lists completed tasks that it could forget */
+  forgettableSince: number | null;
   /** attempts whose direct start may still be under way: forgetting them could start them again */
   readonly doubtful: Set<string>;
   readonly images: Map<string, number>;
@@ -255,6 +257,7 @@
       tasks: new Map(),
       foreign: 0,
       foreignSince: null,
+      forgettableSince: null,
       doubtful: new Set(),
       images: new Map(this.settings.imagesOf(record.name)),
       failedJobs: new Set(),
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -1,4 +1,4 @@
-import { STOP_OVERDUE_S } from '../constants.js';
+import { FORGET_AFTER_MS, FORGET_MOST, STOP_OVERDUE_S } from '../constants.js';
 import {
   attemptKey,
   neverSent,
@@ -27,6 +27,8 @@
 
   answer(m: MachineState, report: Report, now: number, mayStart: boolean): Command[] {
     const out: Command[] = [];
+    /** what nothing hangs on: a completed task is never started again */
+    const completed: Command[] = [];
     for (const t of report.tasks) {
       const { uid, index, attempt } = t;
       const job = this.books.jobs.get(uid);
@@ -34,7 +36,9 @@
         // A completion is forgotten by its worker only once it is saved.
         const unsaved = t.why === 'done' && job !== undefined && job.unsaved.has(index);
         const again = m.doubtful.has(`${uid}/${index}@${attempt}`);
-        if (!unsaved && !again) out.push({ op: 'forget', uid, index, attempt });
+        if (!unsaved && !again) {
+          (t.why === 'done' ? completed : out).push({ op: 'forget', uid, index, attempt });
+        }
         continue;
       }
       const p = m.tasks.get(taskKey(uid, index));
@@ -58,7 +62,19 @@
         out.push(start, { ...this.#stopCommand(p, now), graceS: 0 } as Command);
       }
     }
-    return out;
+    return this.#forgetsDue(m, completed, out.length > 0, now) ? [...out, ...completed] : out;
+  }
+
+  /**
+   * A worker reports again whenever its list has changed, so being told to forget costs a report of its
+   * own: a quarter of all of them at the fleet's size. Told along with other orders it costs none.
+   */
+  #forgetsDue(m: MachineState, tasks: readonly Command[], along: boolean, now: number): boolean {
+    m.forgettableSince = tasks.length === 0 ? null : (m.forgettableSince ?? now);
+    if (m.forgettableSince === null) return false;
+    const due = along || tasks.length >= FORGET_MOST || now - m.forgettableSince >= FORGET_AFTER_MS;
+    if (due) m.forgettableSince = null;
+    return due;
   }
 
   #startable(p: Placement, m: MachineState): boolean {
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -134,8 +134,12 @@
     now: number,
   ): void {
     if (t.why === 'done' && job !== undefined && !job.over && job.own.has(t.index)) {
-      const indexes = job.spec.kind === 'gang' ? job.own : [t.index];
-      for (const i of indexes) if (!job.saved.has(i)) job.unsaved.add(i);
+      const indexes = job.spec.kind === 'gang' ? [...job.own] : [t.index];
+      const news = indexes.filter((i) => !job.saved.has(i) && !job.unsaved.has(i));
+      // Completed tasks stay in the list for a while. Taken as news each time, they would make a
+      // machine that fails everything look well.
+      if (news.length === 0 && p === undefined) return;
+      for (const i of news) job.unsaved.add(i);
       // A placed task is not in the queue, and looking through a queue of 100,000 for it is dear.
       if (p === undefined || job.spec.kind === 'gang') {
         job.waiting = job.waiting.filter((i) => !job.unsaved.has(i));
--- a/src/http.ts
+++ b/src/http.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'node:http';
 import type { Readable } from 'node:stream';
+import type Koa from 'koa';
 import { BODY_LIMIT_BYTES } from './constants.js';
 import { fromBytes, toBytes } from './wire/cbor.js';
 
@@ -103,6 +104,16 @@
   }
 }
 
+/** Answers with a CBOR body. Koa's own way of sending costs more than all else that is done for a report. */
+export const reply = (ctx: Koa.Context, status: number, body: unknown): void => {
+  const bytes = toBytes(body);
+  ctx.respond = false;
+  ctx.res.statusCode = status;
+  ctx.res.setHeader('Content-Type', 'application/cbor');
+  ctx.res.setHeader('Content-Length', bytes.length);
+  ctx.res.end(bytes);
+};
+
 /** Reads a request body within the protocol's limit; null if it is over it. */
 export const readBody = (stream: Readable): Promise<Buffer | null> =>
   collect(stream, BODY_LIMIT_BYTES);
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { JobRecord, JobSpec, MachineRecord } from '../core/model.js';
 
 /** The machines of one rental that are in the same part, in one value: they cost one write. */
--- a/src/users/api.ts
+++ b/src/users/api.ts
@@ -1,12 +1,12 @@
 import type Koa from 'koa';
 import { RETRY_AFTER_S, USER_CALL_MS, USER_WAITING_LIMIT } from '../constants.js';
 import type { JobSpec } from '../core/model.js';
-import { readBody } from '../http.js';
+import { readBody, reply as send } from '../http.js';
 import { StateTrouble } from '../state/client.js';
-import { fromBytes, toBytes, WireError } from '../wire/cbor.js';
+import { fromBytes, WireError } from '../wire/cbor.js';
 import { statusBody, submission, UID_FORM, type JobStatus } from '../wire/schemas.js';
 import type { JobAnswer, Jobs } from './jobs.js';
-import { z } from 'zod';
+import * as z from 'zod';
 
 export interface UserSide {
   readonly jobs: Jobs;
@@ -38,11 +38,6 @@
 export const userRoutes = (side: UserSide): Koa.Middleware => {
   let waiting = 0;
 
-  const send = (ctx: Koa.Context, status: number, body: unknown): void => {
-    ctx.status = status;
-    ctx.type = 'application/cbor';
-    ctx.body = Buffer.from(toBytes(body));
-  };
   const refuse = (ctx: Koa.Context, reason: string, waitMs = 0): void => {
     const least = Math.min(RETRY_AFTER_S.most, Math.max(RETRY_AFTER_S.least, waitMs / 1000));
     const seconds = Math.ceil(least) + side.random(RETRY_AFTER_S.spread + 1);
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { NAME_LIMIT, TASKS_LIMIT } from '../constants.js';
 import type {
   Command,
@@ -7,6 +7,7 @@
   MachineType,
   Priority,
   Report,
+  ReportedTask,
   TaskState,
 } from '../core/model.js';
 
@@ -87,37 +88,29 @@
   }));
 
 /** `job-000412/3` */
-const parseTask = (piece: string): { uid: string; index: number } | null => {
-  const slash = piece.lastIndexOf('/');
-  const index = Number(piece.slice(slash + 1));
-  if (slash <= 0 || !Number.isSafeInteger(index) || index < 0) return null;
-  return { uid: piece.slice(0, slash), index };
-};
+const TASK_FORM = /^[^/]+\/[0-9]{1,15}$/;
+const reportedTask = z.object({
+  Piece: z.string().regex(TASK_FORM),
+  Try: count,
+  Status: z.enum(keysOf(STATES)),
+  Cause: z.string().nullish(),
+  Saved: z.boolean().nullish(),
+});
 
-const reportedTask = z
-  .object({
-    Piece: z.string(),
-    Try: count,
-    Status: z.enum(keysOf(STATES)),
-    Cause: z.string().nullish(),
-    Saved: z.boolean().nullish(),
-  })
-  .transform((t, context) => {
-    const task = parseTask(t.Piece);
-    if (task === null) {
-      context.addIssue({ code: 'custom', message: `no task: ${t.Piece}` });
-      return z.NEVER;
-    }
-    const why = t.Cause ?? null;
-    return {
-      ...task,
-      attempt: t.Try,
-      state: STATES[t.Status],
-      why: why === null ? null : ((REASONS as Record<string, ExitReason>)[why] ?? 'error'),
-      saved: t.Saved ?? false,
-    };
-  });
+const toTask = (t: z.infer<typeof reportedTask>): ReportedTask => {
+  const slash = t.Piece.indexOf('/');
+  const why = t.Cause ?? null;
+  return {
+    uid: t.Piece.slice(0, slash),
+    index: Number(t.Piece.slice(slash + 1)),
+    attempt: t.Try,
+    state: STATES[t.Status],
+    why: why === null ? null : ((REASONS as Record<string, ExitReason>)[why] ?? 'error'),
+    saved: t.Saved ?? false,
+  };
+};
 
+/** One conversion for the whole report: a step for each of its tasks costs more than all the rest. */
 export const report = z
   .object({
     Host: name,
@@ -141,7 +134,7 @@
     counter: r.Counter,
     token: r.Mandate,
     noticeS: r.WarningS ?? null,
-    tasks: r.Pieces ?? [],
+    tasks: (r.Pieces ?? []).map(toTask),
   }));
 
 const order = (c: Command): Record<string, unknown> => {
--- a/src/workers/beats.ts
+++ b/src/workers/beats.ts
@@ -1,7 +1,7 @@
 import type Koa from 'koa';
 import type { Command, Report } from '../core/model.js';
-import { CborClient, NoAnswer, readBody } from '../http.js';
-import { fromBytes, toBytes, WireError } from '../wire/cbor.js';
+import { CborClient, NoAnswer, readBody, reply as send } from '../http.js';
+import { fromBytes, WireError } from '../wire/cbor.js';
 import { answerBody, commandsBody, redirectBody, report as reportSchema } from '../wire/schemas.js';
 import { COMMAND_MS } from '../constants.js';
 
@@ -16,7 +16,6 @@
   async (ctx, next) => {
     if (ctx.path !== '/agent/beat' || ctx.method !== 'POST') return next();
     const bytes = await readBody(ctx.req);
-    ctx.type = 'application/cbor';
     let parsed;
     try {
       parsed = bytes === null ? null : reportSchema.safeParse(fromBytes(bytes));
@@ -24,22 +23,11 @@
       if (!(error instanceof WireError)) throw error;
       parsed = null;
     }
-    if (parsed === null || !parsed.success) {
-      ctx.status = 400;
-      ctx.body = Buffer.from(toBytes({ error: 'no report' }));
-      return;
-    }
+    if (parsed === null || !parsed.success) return send(ctx, 400, { error: 'no report' });
     const reply = beat(parsed.data);
-    if (reply.kind === 'answer') {
-      ctx.status = 200;
-      ctx.body = Buffer.from(toBytes(answerBody(reply.token, reply.commands)));
-    } else if (reply.kind === 'redirect') {
-      ctx.status = 421;
-      ctx.body = Buffer.from(toBytes(redirectBody(reply.node)));
-    } else {
-      ctx.status = 503;
-      ctx.body = Buffer.from(toBytes({ error: 'not now' }));
-    }
+    if (reply.kind === 'answer') send(ctx, 200, answerBody(reply.token, reply.commands));
+    else if (reply.kind === 'redirect') send(ctx, 421, redirectBody(reply.node));
+    else send(ctx, 503, { error: 'not now' });
   };
 
 export type DirectResult =
