No timers between the feed's reads, and reports turned away unread until the node knows the owners

Each poll set a timer of 40 ms although the feed only pauses; in a restart of all nodes each of a thousand workers asks once a second.

--- a/src/service.ts
+++ b/src/service.ts
@@ -178,7 +178,12 @@
   async #listen(): Promise<void> {
     const app = new Koa();
     app.on('error', (error: Error) => this.log.debug({ error: error.message }, 'request failed'));
-    app.use(workerRoutes((report) => this.#beat(report)));
+    app.use(
+      workerRoutes(
+        (report) => this.#beat(report),
+        () => this.#mirror.ready,
+      ),
+    );
     app.use(
       userRoutes({
         jobs: this.#jobs,
--- a/src/state/currency.ts
+++ b/src/state/currency.ts
@@ -36,6 +36,9 @@
 
   reading(since: number | null): void {
     this.#reading = since;
+    if (this.#timer !== null) clearTimeout(this.#timer);
+    this.#timer = null;
+    this.#look();
   }
 
   wait(): Promise<void> {
@@ -55,17 +58,21 @@
     });
   }
 
+  /** Looks after the read that is under way; between two reads there is nothing to wake up for. */
   #look(): void {
     if (this.#timer !== null || this.#waiters.length === 0) return;
-    this.#timer = setTimeout(() => {
-      this.#timer = null;
+    const between = this.#reading === null;
+    const waitMs = between ? 2 * USER_CALL_MS : HELD_READ_MS;
+    const timer = setTimeout(() => {
+      if (this.#timer === timer) this.#timer = null;
       this.#expire();
       const held = this.#reading !== null && this.now() - this.#reading >= HELD_READ_MS;
       if (held && !this.#probing && this.#waiters.some((w) => w.epoch === null)) {
         void this.#probe();
       }
       this.#look();
-    }, HELD_READ_MS);
+    }, waitMs);
+    this.#timer = timer;
   }
 
   /** Whoever asked so long ago has been refused by now. */
--- a/src/workers/beats.ts
+++ b/src/workers/beats.ts
@@ -10,11 +10,19 @@
   | { readonly kind: 'redirect'; readonly node: string | null }
   | { readonly kind: 'unavailable' };
 
-/** Reports of workers: answered by the owner of the machine's part, sent on by all others. */
+/**
+ * Reports of workers: answered by the owner of the machine's part, sent on by all others. Until the node
+ * is `open` it knows no owners: when all restart at once, every worker asks every second, and reading
+ * what they say would take the time that the start needs.
+ */
 export const workerRoutes =
-  (beat: (report: Report) => BeatReply): Koa.Middleware =>
+  (beat: (report: Report) => BeatReply, open: () => boolean): Koa.Middleware =>
   async (ctx, next) => {
     if (ctx.path !== '/agent/beat' || ctx.method !== 'POST') return next();
+    if (!open()) {
+      ctx.req.resume();
+      return send(ctx, 503, { error: 'not now' });
+    }
     const bytes = await readBody(ctx.req);
     let parsed;
     try {
