--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -77,8 +77,16 @@
     }
   }
 
-  async #call(cls: CallClass, method: string, path: string, body?: unknown): Promise<Answer> {
+  async #call(
+    cls: CallClass,
+    method: string,
+    path: string,
+    body?: unknown,
+    mayAct: () => boolean = () => true,
+  ): Promise<Answer> {
     await this.#token(cls);
+    // The wait may have been long, or the process may have stood still: what it was decided on is over.
+    if (!mayAct()) throw new CloudTrouble(`${method} ${path}: no authority any more`);
     try {
       const answer = await this.#http.call(method, path, body, CLOUD_CALL_MS);
       if (answer.status === 429) throw new CloudTrouble(`${method} ${path}: 429`);
@@ -95,8 +103,9 @@
     return machineTypes.parse(a.body).Hosttypes;
   }
 
-  async rent(request: RentRequest): Promise<RentResult> {
-    const a = await this.#call(CALL.rent, 'POST', '/rentals', rentBody(request));
+  /** `mayAct` is asked at the moment of sending. */
+  async rent(request: RentRequest, mayAct: () => boolean): Promise<RentResult> {
+    const a = await this.#call(CALL.rent, 'POST', '/rentals', rentBody(request), mayAct);
     if (a.status === 200) return { kind: 'rented', machines: rented.parse(a.body).Hosts };
     if (a.status === 400) return { kind: 'malformed', answer: JSON.stringify(a.body) };
     const error = (a.body as { error?: unknown } | null)?.error;
@@ -105,8 +114,9 @@
   }
 
   /** When this resolves, the machines and everything on them are gone. */
-  async giveBack(machines: readonly string[]): Promise<void> {
-    const a = await this.#call(CALL.giveBack, 'POST', '/rentals/return', returnBody(machines));
+  async giveBack(machines: readonly string[], mayAct: () => boolean): Promise<void> {
+    const body = returnBody(machines);
+    const a = await this.#call(CALL.giveBack, 'POST', '/rentals/return', body, mayAct);
     if (a.status !== 200) throw new CloudTrouble(`return: ${a.status}`);
   }
 
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -27,6 +27,18 @@
 /** final states kept in memory; at about 100 bytes each this stays below 3 MB. */
 export const FINALS_IN_MEMORY = 20_000;
 
+// --- sockets ------------------------------------------------------------------------------------
+/** share of the process's sockets that direct commands may take at once: a survivor that takes over
+ * every part claims all workers, and their reports and the users need sockets as well. */
+export const DIRECT_SHARE = 0.08;
+/** sockets to each other node: one a way, and as many that have ended and are not gone yet */
+export const PEER_SOCKETS = 4;
+/** sockets kept back for what is counted nowhere: listeners, probes of the load balancer, watches */
+export const SPARE_SOCKETS = 24;
+/** worker leases after which an idle inbound connection is closed: a machine that is gone says nothing,
+ * and users ask about every 5 s while they wait. */
+export const IDLE_LEASES = 2;
+
 // --- clocks -------------------------------------------------------------------------------------
 /** ms; a change is acted on this soon, together with those that come right after it. */
 export const SOON_MS = 250;
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -81,10 +81,14 @@
     return !p.job.over && p.stop === null && !m.returning && !m.leaving && m.noticeAt === null;
   }
 
-  /** Starts and stops that should not wait for the next report, by machine. */
-  direct(now: number): { machine: MachineState; commands: Command[]; starts: Placement[] }[] {
+  /** Starts and stops that should not wait for the next report, by machine, of `most` machines. */
+  direct(
+    now: number,
+    most: number,
+  ): { machine: MachineState; commands: Command[]; starts: Placement[] }[] {
     const out: { machine: MachineState; commands: Command[]; starts: Placement[] }[] = [];
     for (const m of this.books.machines.values()) {
+      if (out.length >= most) break;
       if (m.address === null || !this.books.isFresh(m, now)) continue;
       const commands: Command[] = [];
       const starts: Placement[] = [];
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -176,8 +176,8 @@
   queue(now: number): JobState[] {
     return this.#placing.queue(now);
   }
-  directCommands(now: number): ReturnType<Orders['direct']> {
-    return this.#orders.direct(now);
+  directCommands(now: number, most = Infinity): ReturnType<Orders['direct']> {
+    return this.#orders.direct(now, most);
   }
   directSettled(starts: readonly Placement[], executed: boolean): void {
     this.#orders.settled(starts, executed);
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -8,6 +8,7 @@
 import { Part, type PartSettings, type MachineState, type Placement } from './core/part.js';
 import { MachineRecords } from './machines.js';
 import { Passing } from './passing.js';
+import { shareSockets } from './sockets.js';
 import { CALL, StateTrouble, type StateClient } from './state/client.js';
 import { key, type PartRecord } from './state/keys.js';
 import type { NodeLease } from './state/lease.js';
@@ -55,6 +56,9 @@
   readonly sighted = new Map<string, { part: number; at: number }>();
   #deafUntil = -Infinity;
   #lastOwn = -Infinity;
+  /** direct commands under way, and how many there may be: each has a socket */
+  #directs = 0;
+  readonly #directMost: number;
   readonly machines: MachineRecords;
   readonly #completions: Completions;
   readonly #passing: Passing;
@@ -73,6 +77,7 @@
     private readonly nowOfDay: () => number,
     private readonly log: Logger,
   ) {
+    this.#directMost = shareSockets(config.sockets, config.peers.length).direct;
     this.machines = new MachineRecords(config, client, mirror, now, log);
     this.#completions = new Completions(config, client, mirror, now, log);
     this.#passing = new Passing(
@@ -93,6 +98,12 @@
     );
   }
 
+  /** Whether this node acts for the part now, under the term that `owned` stands for. */
+  actsFor(owned: Owned): boolean {
+    const present = this.owned.get(owned.part.index) === owned && !owned.suspended;
+    return present && this.authority(this.now());
+  }
+
   termOf(part: number): number | null {
     return this.mirror.tables['parts/'].get(String(part))?.value.term ?? null;
   }
@@ -363,10 +374,13 @@
   /** Stops, and the news of our term, without waiting for the next report. */
   #direct(owned: Owned, now: number): void {
     const { part } = owned;
-    for (const { machine, commands, starts } of part.directCommands(now)) {
+    const room = () => this.#directMost - this.#directs;
+    for (const { machine, commands, starts } of part.directCommands(now, room())) {
       void this.#command(part, machine, commands, starts);
     }
     for (const m of part.unknownMachines()) {
+      // The rest is told in the next round, or by the answer to its own report.
+      if (room() <= 0) break;
       if (m.address === null || owned.claiming.has(m.record.name)) continue;
       owned.claiming.add(m.record.name);
       void this.#command(part, m, []).finally(() => {
@@ -383,7 +397,10 @@
   ): Promise<void> {
     for (let tries = 0; tries < 2; tries++) {
       const session = Math.max(1, m.session);
-      const sent = await sendDirect(m.address!, part.term, session, commands);
+      this.#directs += 1;
+      const sent = await sendDirect(m.address!, part.term, session, commands).finally(() => {
+        this.#directs -= 1;
+      });
       if (sent.kind === 'in_doubt' || this.owned.get(part.index)?.part !== part) return;
       if (sent.kind === 'not_sent') {
         part.directSettled(starts, false);
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -170,8 +170,9 @@
   }
 
   async #rent(owned: Owned, hire: HireRecord): Promise<void> {
-    if (!this.keeper.authority(this.now())) return;
-    const result = await this.cloud.rent({ request: hire.name, ...hire });
+    const result = await this.cloud.rent({ request: hire.name, ...hire }, () =>
+      this.keeper.actsFor(owned),
+    );
     const where = { type: hire.type, zone: hire.zone, spot: hire.spot, part: hire.part };
     if (result.kind !== 'rented') {
       const until = this.now() + NO_CAPACITY_MS;
@@ -197,8 +198,7 @@
       const some = names.slice(at, at + RETURN_MOST);
       for (const n of some) this.#returning.add(n);
       await this.#guard('return not answered', async () => {
-        if (!this.keeper.authority(this.now())) return;
-        await this.cloud.giveBack(some);
+        await this.cloud.giveBack(some, () => this.keeper.actsFor(owned));
         for (const n of some) owned.part.machineGone(n, this.now());
         this.keeper.machines.returned(some);
       });
--- a/src/service.ts
+++ b/src/service.ts
@@ -11,6 +11,7 @@
   CUT_OFF_MS,
   FEED_SHARE,
   FOLLOW_PAUSE_MS,
+  IDLE_LEASES,
   LOOP_MS,
   READY_GRACE_MS,
   REQUEST_MS,
@@ -39,6 +40,7 @@
 import type { PeerStatus, RoomStatus } from './peers/frames.js';
 import { randomFrom } from './random.js';
 import { Rentals } from './rentals.js';
+import { shareSockets } from './sockets.js';
 import { StateClient } from './state/client.js';
 import { Currency } from './state/currency.js';
 import { NodeLease } from './state/lease.js';
@@ -78,6 +80,8 @@
   /** the mirror's version whose jobs are learned from */
   #learned = -1;
   #server: Server | null = null;
+  /** connections closed at once since the last summary, for want of sockets */
+  #dropped = 0;
 
   constructor(
     private readonly config: PlatformConfig,
@@ -203,8 +207,11 @@
     );
     const handler = app.callback();
     const server = createServer((req, res) => void handler(req, res));
-    server.keepAliveTimeout = 0;
+    server.keepAliveTimeout = this.config.workers.leaseS * 1000 * IDLE_LEASES;
+    // Beyond this a connection is closed at once, and its worker or the load balancer tries another node.
+    server.maxConnections = shareSockets(this.config.sockets, this.config.peers.length).inbound;
     server.requestTimeout = REQUEST_MS;
+    server.on('drop', () => (this.#dropped += 1));
     this.#server = server;
     const colon = this.config.listen.lastIndexOf(':');
     const host = this.config.listen.slice(0, colon);
@@ -532,11 +539,13 @@
         active: this.#mirror.tables['active/'].size,
         state: this.#state.up,
         acceptMs: { p50: percentile(50), p99: percentile(99), count: this.#accepts.totalCount },
+        connectionsDropped: this.#dropped,
         rssMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
       },
       'summary',
     );
     this.#accepts.reset();
+    this.#dropped = 0;
   }
 
   close(): void {
--- /dev/null
+++ b/test/sockets.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CloudClient, CloudTrouble } from '../src/cloud/client.js';
+import { shareSockets } from '../src/sockets.js';
+import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
+import { StandInServer } from './standins/server.js';
+import { FakeWorker, Ground } from './standins/worker.js';
+
+/** A survivor that takes over every part must neither run out of sockets nor leave any use without. */
+const QUOTAS: { most: number; peers: number; workers: number }[] = [
+  { most: 1500, peers: 6, workers: 1247 },
+  { most: 2597, peers: 4, workers: 1563 },
+  { most: 3000, peers: 2, workers: 60 },
+  { most: 100, peers: 2, workers: 0 },
+];
+for (const { most, peers, workers } of QUOTAS) {
+  test(`${most} sockets and ${peers} other nodes: all workers, direct commands, the rest`, () => {
+    const { direct, inbound } = shareSockets(most, peers);
+    assert.ok(direct >= 1 && inbound >= 1);
+    assert.ok(direct + inbound < most, 'some are left for state service, cloud and nodes');
+    assert.ok(inbound > workers, 'a lone survivor hears every worker');
+  });
+}
+
+test('direct commands go to so many machines at once; the rest is told by answers', () => {
+  const names = Array.from({ length: 30 }, (_, i) => `m${i}`);
+  const store = new Store().add(...names.map((n) => machine(n)));
+  const part = partWith(store);
+  const ground = new Ground();
+  for (const n of names) {
+    const w = new FakeWorker(n, ground, 1000, LEASE_MS, 0, 'z', 'm', `${n}:1`);
+    w.token = 1;
+    part.beat(w.report(), 0, true);
+  }
+  store.add(job({ tasks: 60 }));
+  part.sync(store, 100);
+  part.placeAll(100);
+  const first = part.directCommands(100, 20);
+  assert.equal(first.length, 20);
+  assert.equal(part.directCommands(100, 0).length, 0);
+  const rest = part.directCommands(200, 20);
+  assert.equal(rest.length, 10, 'what had no socket comes next');
+  const tasks = [...first, ...rest].flatMap((c) => c.starts.map((p) => p.index));
+  assert.equal(new Set(tasks).size, 60);
+});
+
+/** A process that stood still finds its calls as it left them, but not its authority. */
+for (const what of ['rent', 'giveBack'] as const) {
+  test(`${what}: authority lost while the call waited for its turn`, async () => {
+    const asked: string[] = [];
+    const server = new StandInServer();
+    await server.listen((r) => {
+      asked.push(r.path);
+      return { status: 200, body: { Hosts: [] } };
+    });
+    let now = 0;
+    const cloud = new CloudClient(server.address, 1, () => now);
+    let may = true;
+    const rental = { request: 'r', type: 'm', zone: 'z', spot: false, count: 1 };
+    const call = () =>
+      what === 'rent' ? cloud.rent(rental, () => may) : cloud.giveBack(['a'], () => may);
+    try {
+      await call();
+      const before = asked.length;
+      // No token is left: the call waits, and meanwhile the process stands still for a minute.
+      const waiting = call();
+      may = false;
+      now = 60_000;
+      await assert.rejects(waiting, CloudTrouble);
+      assert.equal(asked.length, before, 'nothing was sent');
+    } finally {
+      cloud.close();
+      server.close();
+    }
+  });
+}
