Cancellations are told between controllers, and worker leases end where one may be unknown

Cause: an owner learned of cancellations from its feed alone and renewed worker leases without limit while no reachable controller had state. Now each controller repeats every cancellation it knows to the others until they acknowledge it; an owner stops what it hears of without authority; and from the echoes it knows up to when it has heard of everything. Reports are answered only while the lease so renewed ends in time for whatever may be unknown. Ruled out: the old owner's stops, which were sent at once when the feed came back.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -127,6 +127,13 @@
 export const PEER_FRESH_MS = 3500;
 /** bytes; a gossip message is a few KiB, so a longer frame is an error of the sender. */
 export const PEER_FRAME_BYTES = 1024 * 1024;
+/** ms; a cancellation is told to the other nodes this soon, together with those of the same moment. */
+export const TELL_MS = 50;
+/** cancellations told at once; two writes each at 35 a second, kept for a minute, make about 1,000. */
+export const TOLD_MOST = 2000;
+/** ms; kept back from the time for a cancellation when worker leases are renewed without knowing it:
+ * the way of an answer, the worker's own timers, and the end of its tasks. */
+export const LET_GO_MARGIN_MS = 1500;
 /** ms; an owner whose workers are all silent for this long, while a peer hears them, hands over. */
 export const DEAF_MS = 7000;
 /** attempt numbers are term * this + counter: below 2^53 for terms under a billion. */
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -85,6 +85,7 @@
   direct(
     now: number,
     most: number,
+    mayStart: boolean,
   ): { machine: MachineState; commands: Command[]; starts: Placement[] }[] {
     const out: { machine: MachineState; commands: Command[]; starts: Placement[] }[] = [];
     for (const m of this.books.machines.values()) {
@@ -96,7 +97,7 @@
         if (p.stop !== null && !p.stop.sentDirect) {
           p.stop.sentDirect = true;
           commands.push(this.#stopCommand(p, now));
-        } else if (neverSent(p) && this.#startable(p, m)) {
+        } else if (mayStart && neverSent(p) && this.#startable(p, m)) {
           p.direct = true;
           starts.push(p);
           m.doubtful.add(attemptKey(p));
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, Command, Report, TaskRange } from './model.js';
+import type { JobRecord, Command, Report, ReportedTask, TaskRange } from './model.js';
 import {
   Books,
   type Changes,
@@ -22,8 +22,11 @@
   | { readonly kind: 'answer'; readonly commands: Command[] }
   | { readonly kind: 'superseded' }
   | { readonly kind: 'old' }
+  | { readonly kind: 'unanswered' }
   | { readonly kind: 'unknown' };
 
+const isLive = (t: ReportedTask): boolean => t.state !== 'exited';
+
 /**
  * One part's state under one term: reports in, wanted commands out. Time is passed in; nothing here
  * does input or output.
@@ -48,9 +51,10 @@
 
   /**
    * A worker's report. `mayStart` is false while our authority is not proven: running work then
-   * keeps its lease by the answer, but nothing new begins.
+   * keeps its lease by the answer, but nothing new begins. With `mayRenew` false what it says is
+   * taken in, but it gets no answer, so that its lease ends.
    */
-  beat(report: Report, now: number, mayStart: boolean): BeatResult {
+  beat(report: Report, now: number, mayStart: boolean, mayRenew = true): BeatResult {
     const m = this.books.machines.get(report.machine);
     if (m === undefined) return { kind: 'unknown' };
     if (report.token > this.books.term) return { kind: 'superseded' };
@@ -64,10 +68,15 @@
     if (report.session === m.session && report.counter <= m.counter) {
       // Its answer to a direct command overtook this report. Sending it away would cost the worker
       // its node, and an answer without orders does no harm.
+      if (!mayRenew) return { kind: 'unanswered' };
       m.answeredAt = now;
       return { kind: 'answer', commands: [] };
     }
     this.#reports.observe(m, report, now);
+    // An empty machine is renewed all the same: there is nothing on it that could go on too long.
+    if (!mayRenew && (m.tasks.size + m.doubtful.size > 0 || report.tasks.some(isLive))) {
+      return { kind: 'unanswered' };
+    }
     m.answeredAt = now;
     if (report.token !== this.books.term) {
       // Orders of an earlier term may still reach this worker: its list is not complete yet. The
@@ -176,8 +185,8 @@
   queue(now: number): JobState[] {
     return this.#placing.queue(now);
   }
-  directCommands(now: number, most = Infinity): ReturnType<Orders['direct']> {
-    return this.#orders.direct(now, most);
+  directCommands(now: number, most = Infinity, mayStart = true): ReturnType<Orders['direct']> {
+    return this.#orders.direct(now, most, mayStart);
   }
   directSettled(starts: readonly Placement[], executed: boolean): void {
     this.#orders.settled(starts, executed);
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -3,6 +3,7 @@
 import type { OperatorConfig } from './config/operator.js';
 import { CLAIM_PAUSE_MS, DEAF_MS, HANDBACK_MS, HANDOVER_SETTLE_MS, LOOP_MS } from './constants.js';
 import { Completions } from './completions.js';
+import { renewableMs } from './core/cancellations.js';
 import type { Command, JobSpec, MachineType, Report } from './core/model.js';
 import { Ownership, type OwnershipView } from './core/ownership.js';
 import { Part, type PartSettings, type MachineState, type Placement } from './core/part.js';
@@ -41,6 +42,8 @@
   imagesOf(machine: string): ReadonlyMap<string, number>;
   /** the node that hears most workers of the part */
   hears(part: number): string | null;
+  /** up to when every cancellation that any node has confirmed is known here, steady ms */
+  cancellationsKnownUntil(): number;
 }
 
 /** Takes parts, gives them back, and runs the loops of those that this node owns. */
@@ -55,6 +58,8 @@
   /** workers of other nodes' parts that came here, with the time */
   readonly sighted = new Map<string, { part: number; at: number }>();
   #deafUntil = -Infinity;
+  /** since when worker leases are left to run out, steady ms */
+  #lettingGoSince: number | null = null;
   #lastOwn = -Infinity;
   /** direct commands under way, and how many there may be: each has a socket */
   #directs = 0;
@@ -141,7 +146,10 @@
       const { part } = owned;
       if (owned.suspended) continue;
       part.age(now);
-      if (!authority) continue;
+      if (!authority) {
+        this.#directStops(owned, now);
+        continue;
+      }
       part.placeAll(now);
       this.#direct(owned, now);
       void this.machines.tick(index, owned, now);
@@ -347,7 +355,7 @@
       if (better !== null) return { kind: 'redirect', node: better };
     }
     if (!owned.part.machines.has(report.machine)) this.#refresh(now);
-    const result = owned.part.beat(report, now, authority);
+    const result = owned.part.beat(report, now, authority, authority || this.#mayRenew(now));
     if (result.kind === 'answer') {
       return { kind: 'answer', token: owned.part.term, commands: result.commands };
     }
@@ -361,6 +369,23 @@
     return { kind: 'unavailable' };
   }
 
+  /**
+   * Without current state a cancellation may have been confirmed that we have not heard of. Its tasks
+   * must be gone in time all the same, so worker leases are renewed only as long as those that end
+   * last still end in time for whatever we may not know.
+   */
+  #mayRenew(now: number): boolean {
+    const { cancelS, leaseS } = this.config.workers;
+    const known = this.peers.cancellationsKnownUntil();
+    const may = now - known <= renewableMs(cancelS * 1000, leaseS * 1000);
+    if (may === (this.#lettingGoSince === null)) return may;
+    this.#lettingGoSince = may ? null : now;
+    const unknownS = Math.round((now - known) / 1000);
+    if (may) this.log.info('worker leases are renewed again');
+    else this.log.info({ unknownS }, 'worker leases are left to end: cancellations may be unknown');
+    return may;
+  }
+
   #sendOn(report: Report, part: number, now: number): BeatReply {
     const owner = this.mirror.tables['parts/'].get(String(part))?.value;
     if (owner === undefined) return { kind: 'unavailable' };
@@ -371,11 +396,19 @@
     return { kind: 'redirect', node: owner.owner };
   }
 
+  /** Stopping under our own term can only be safe, whatever we know: it needs no authority. */
+  #directStops({ part }: Owned, now: number): void {
+    const most = this.#directMost - this.#directs;
+    for (const { machine, commands } of part.directCommands(now, most, false)) {
+      void this.#command(part, machine, commands);
+    }
+  }
+
   /** Stops, and the news of our term, without waiting for the next report. */
   #direct(owned: Owned, now: number): void {
     const { part } = owned;
     const room = () => this.#directMost - this.#directs;
-    for (const { machine, commands, starts } of part.directCommands(now, room())) {
+    for (const { machine, commands, starts } of part.directCommands(now, room(), true)) {
       void this.#command(part, machine, commands, starts);
     }
     for (const m of part.unknownMachines()) {
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -3,6 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import protobuf from 'protobufjs';
 import { PEER_FRAME_BYTES } from '../constants.js';
+import type { Cancellation } from '../core/cancellations.js';
 
 export interface RoomStatus {
   cpus: number;
@@ -36,9 +37,11 @@
     images: { machine: string; images: string[]; gb: number[] }[];
   }[];
   jobs: { uid: string; running: number; done: number; part: number }[];
-  echoes: { node: string; sentAt: number }[];
+  echoes: { node: string; sentAt: number; incarnation: string }[];
   sightings: { part: number; workers: number }[];
   classes: { jobClass: string; runS: number; finished: number }[];
+  cancellations: Cancellation[];
+  cancellationsComplete: boolean;
 }
 
 /** The package's root, from wherever this file was compiled to. */
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,7 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { finished, pipeline } from 'node:stream';
 import type { Logger } from 'pino';
-import { DETAIL_EVERY, GOSSIP_MS, PEER_FRESH_MS } from '../constants.js';
+import { DETAIL_EVERY, GOSSIP_MS, PEER_FRESH_MS, TELL_MS } from '../constants.js';
 import { StatusDecoder, StatusEncoder, type PeerStatus } from './frames.js';
 
 export interface Peer {
@@ -17,7 +17,7 @@
 }
 
 /** What a node says of itself; the rest of a status is the talk's own matter. */
-export type OwnStatus = Omit<PeerStatus, 'node' | 'sentAt' | 'echoes' | 'detailed'>;
+export type OwnStatus = Omit<PeerStatus, 'node' | 'incarnation' | 'sentAt' | 'echoes' | 'detailed'>;
 
 /** A short status with the details of the last long one. */
 const withDetails = (status: PeerStatus, last: PeerStatus): PeerStatus => ({
@@ -38,11 +38,15 @@
   readonly #sockets = new Set<Socket>();
   #server: Server | null = null;
   #timer: NodeJS.Timeout | null = null;
+  #soon: NodeJS.Timeout | null = null;
 
   constructor(
     private readonly me: string,
+    private readonly incarnation: string,
     private readonly peers: readonly Peer[],
-    private readonly status: (detailed: boolean) => OwnStatus,
+    private readonly status: (detailed: boolean, sentAt: number) => OwnStatus,
+    /** every message, with the time of ours that its sender had before; -Infinity: none of this life */
+    private readonly onHeard: (status: PeerStatus, echoed: number) => void,
     private readonly now: () => number,
     private readonly log: Logger,
   ) {
@@ -71,17 +75,37 @@
     const known = this.#heard.get(status.node);
     const sameLife = known?.status.incarnation === status.incarnation;
     if (sameLife && known.status.sentAt >= status.sentAt) return;
-    const echoed = status.echoes.find((e) => e.node === this.me)?.sentAt ?? -Infinity;
+    // An echo of an earlier life of ours counts by another clock.
+    const mine = (e: PeerStatus['echoes'][number]) =>
+      e.node === this.me && (e.incarnation === '' || e.incarnation === this.incarnation);
+    const echoed = status.echoes.find(mine)?.sentAt ?? -Infinity;
     const whole = status.detailed || !sameLife ? status : withDetails(status, known.status);
     this.#heard.set(status.node, { status: whole, at: this.now(), echoed });
+    this.onHeard(status, echoed);
   }
 
   #tick(): void {
-    const echoes = [...this.#heard].map(([node, h]) => ({ node, sentAt: h.status.sentAt }));
     const detailed = this.#ticks % DETAIL_EVERY === 0;
     this.#ticks += 1;
-    const status = this.status(detailed);
-    this.#encoder.write({ node: this.me, sentAt: this.now(), detailed, echoes, ...status });
+    this.#say(detailed);
+  }
+
+  #say(detailed: boolean): void {
+    const echoes = [...this.#heard].map(([node, { status }]) => {
+      return { node, sentAt: status.sentAt, incarnation: status.incarnation };
+    });
+    const sentAt = this.now();
+    const { me: node, incarnation } = this;
+    const status = this.status(detailed, sentAt);
+    this.#encoder.write({ node, incarnation, sentAt, detailed, echoes, ...status });
+  }
+
+  /** There is something that the others should know before the next regular message. */
+  hurry(): void {
+    this.#soon ??= setTimeout(() => {
+      this.#soon = null;
+      this.#say(false);
+    }, TELL_MS);
   }
 
   /** The same bytes go to every peer; one that does not take them gets none added to the pile. */
@@ -127,6 +151,7 @@
 
   close(): void {
     if (this.#timer !== null) clearInterval(this.#timer);
+    if (this.#soon !== null) clearTimeout(this.#soon);
     this.#server?.close();
     for (const s of this.#sockets) s.destroy();
   }
--- a/src/service.ts
+++ b/src/service.ts
@@ -23,6 +23,7 @@
   TYPES_RETRY_MS,
   UNKNOWN_LOAD,
 } from './constants.js';
+import { Hearer, Teller, type Cancellation } from './core/cancellations.js';
 import type { PartLoad } from './core/jobs.js';
 import { Learning } from './core/learning.js';
 import {
@@ -61,6 +62,8 @@
   readonly #lease: NodeLease;
   readonly #learning = new Learning();
   readonly #gossip: Gossip;
+  readonly #teller: Teller;
+  readonly #hearer: Hearer;
   readonly #keeper: Keeper;
   readonly #rentals: Rentals;
   readonly #jobs: Jobs;
@@ -105,10 +108,15 @@
     const cloudRps = (config.cloudLimits.rps * operator.cloudRequestShare) / config.nodes;
     this.#cloud = new CloudClient(config.cloud, cloudRps, this.#now);
     this.#lease = new NodeLease(this.#state, config.node, this.#incarnation, this.#now, log);
+    const others = config.peers.map((p) => p.node);
+    this.#teller = new Teller(others, config.workers.cancelS * 1000);
+    this.#hearer = new Hearer(others);
     this.#gossip = new Gossip(
       config.node,
+      this.#incarnation,
       config.peers,
-      (detailed) => this.#status(detailed),
+      (detailed, sentAt) => this.#status(detailed, sentAt),
+      (status, echoed) => this.#heard(status, echoed),
       this.#now,
       log,
     );
@@ -158,6 +166,7 @@
       this.#now,
     );
     this.#mirror.on('change', () => this.#tickSoon());
+    this.#mirror.on('cancelled', (c: Cancellation) => this.#teller.learned(c, this.#now()));
   }
 
   async start(): Promise<void> {
@@ -192,6 +201,10 @@
       userRoutes({
         jobs: this.#jobs,
         progress: (uid) => this.#progress(uid),
+        // Whoever runs the job should stop it now, whether or not the state service tells it.
+        cancelled: (uid) => {
+          if (this.#teller.has(uid)) this.#gossip.hurry();
+        },
         ready: () => this.#ready(),
         stateUp: () => this.#state.up,
         timeOfDay: timeOfDayMs,
@@ -380,10 +393,19 @@
         }
         return best?.node ?? null;
       },
+      cancellationsKnownUntil: () => this.#hearer.knownUntil(this.#mirror.currentAt),
     };
   }
 
-  #status(detailed: boolean): OwnStatus {
+  #heard(status: PeerStatus, echoed: number): void {
+    const { node, incarnation, cancellations, cancellationsComplete: complete } = status;
+    for (const c of cancellations) this.#mirror.learnCancelled(c);
+    const from = { node, incarnation, complete, echoed };
+    this.#hearer.heard(from, this.#mirror.currentAt, this.#now());
+    this.#teller.acknowledged(node, echoed);
+  }
+
+  #status(detailed: boolean, sentAt: number): OwnStatus {
     const now = this.#now();
     const sightings = new Map<number, number>();
     for (const [machine, s] of this.#keeper.sighted) {
@@ -412,7 +434,8 @@
       }
     }
     return {
-      incarnation: this.#incarnation,
+      cancellations: this.#teller.tell(sentAt),
+      cancellationsComplete: this.#teller.complete(sentAt),
       hasState: this.#hasState(),
       parts,
       jobs,
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -4,9 +4,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { StateTrouble, type Change, type StateClient } from './client.js';
 import type { Write } from '../wire/schemas.js';
+import type { Cancellation } from '../core/cancellations.js';
 import type { MachineRecord } from '../core/model.js';
 import {
   FINAL,
+  key,
   MIRRORED,
   decodeFinal,
   machinesOf,
@@ -163,7 +165,7 @@
     this.epoch = batch.epoch;
     this.currentAt = Math.max(this.currentAt, batch.began ?? -Infinity);
     if (batch.fresh || batch.changes.length > 0) this.version += 1;
-    for (const [key, stamp] of this.#removed) if (stamp <= this.epoch) this.#removed.delete(key);
+    for (const [k, stamp] of this.#removed) if (stamp <= this.epoch) this.#removed.delete(k);
     this.emit('change', batch);
   }
 
@@ -184,7 +186,8 @@
 
   #change(change: Change): void {
     if (change.key.startsWith(FINAL)) {
-      if (!change.removed) this.learnFinal(change.key.slice(FINAL.length), change.value);
+      const uid = change.key.slice(FINAL.length);
+      if (!change.removed) this.learnFinal(uid, change.value, change.stamp);
       return;
     }
     const prefix = prefixOf(change.key);
@@ -239,9 +242,20 @@
     return undefined;
   }
 
-  learnFinal(uid: string, value: unknown): FinalState {
+  /** A cancellation that another node tells of, ahead of the feed, and without the state service. */
+  learnCancelled({ uid, tasks, done, epoch }: Cancellation): void {
+    if (this.finals.has(uid)) return;
+    const final: FinalState = { status: 'cancelled', tasks, done };
+    this.applyOwn([{ drop: key.active(uid) }, { put: key.final(uid), value: final }], epoch);
+  }
+
+  learnFinal(uid: string, value: unknown, epoch: number): FinalState {
     const final = decodeFinal(value);
+    const news = !this.finals.has(uid);
     this.finals.set(uid, final);
+    if (news && final.status === 'cancelled') {
+      this.emit('cancelled', { uid, tasks: final.tasks, done: final.done, epoch });
+    }
     if (this.finals.size > FINALS_IN_MEMORY) {
       const oldest = this.finals.keys().next().value;
       if (oldest !== undefined) this.finals.delete(oldest);
--- a/src/users/api.ts
+++ b/src/users/api.ts
@@ -12,6 +12,8 @@
   readonly jobs: Jobs;
   /** counts of tasks, for display */
   progress(uid: string): { done: number; running: number };
+  /** a user is told that the job is cancelled */
+  cancelled(uid: string): void;
   ready(): boolean;
   /** false while the state service is known not to answer */
   stateUp(): boolean;
@@ -47,6 +49,7 @@
   const stateOf = (uid: string, answer: JobAnswer) => {
     if (answer.kind === 'final') {
       const { status, done } = answer.final;
+      if (status === 'cancelled') side.cancelled(uid);
       return statusBody(uid, status, done, 0);
     }
     const { done, running } = side.progress(uid);
@@ -112,7 +115,10 @@
     }
     const final = await inTime(side.jobs.cancel(uid));
     if (final === null) send(ctx, 404, { error: 'no such job' });
-    else send(ctx, 200, statusBody(uid, final.status));
+    else {
+      if (final.status === 'cancelled') side.cancelled(uid);
+      send(ctx, 200, statusBody(uid, final.status));
+    }
   };
 
   const dispatch = async (ctx: Koa.Context): Promise<void> => {
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -97,7 +97,7 @@
     if (now !== undefined) return { kind: 'final', final: now };
     const ended = await this.#reads.read(key.final(uid));
     if ('missing' in ended) return { kind: 'missing' };
-    return { kind: 'final', final: this.mirror.learnFinal(uid, ended.value) };
+    return { kind: 'final', final: this.mirror.learnFinal(uid, ended.value, ended.stamp) };
   }
 
   submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -32,9 +32,11 @@
     },
   ],
   jobs: [{ uid: 'job-1', running: 2, done: 1, part: 1 }],
-  echoes: [{ node: 'n1', sentAt: 3 }],
+  echoes: [{ node: 'n1', sentAt: 3, incarnation: 'b' }],
   sightings: [{ part: 0, workers: 4 }],
   classes: [{ jobClass: 'c', runS: 30, finished: 7 }],
+  cancellations: [{ uid: 'job-2', tasks: 4, done: 1, epoch: 77 }],
+  cancellationsComplete: true,
 };
 
 const encode = async (): Promise<Buffer> => {
--- a/test/keeper.test.ts
+++ b/test/keeper.test.ts
@@ -4,11 +4,13 @@
 import { parseOperator } from '../src/config/operator.js';
 import type { PlatformConfig } from '../src/config/platform.js';
 import {
+  ATTEMPTS_PER_TERM,
   HANDBACK_MS,
   HANDOVER_SETTLE_MS,
   PASS_AFTER_MS,
   STATE_PAUSE_MS,
 } from '../src/constants.js';
+import { renewableMs } from '../src/core/cancellations.js';
 import { Keeper } from '../src/keeper.js';
 import { StateTrouble, type Outcome } from '../src/state/client.js';
 import { encodeActive, encodeGroup } from '../src/state/keys.js';
@@ -33,6 +35,7 @@
   const world = {
     now: 0,
     valid: true,
+    knownUntil: Infinity,
     /** what a current read finds; null: what the mirror shows */
     current: null as { key: string; value: unknown; stamp: number } | null,
     room: null as { part: number; tasks: number } | null,
@@ -68,6 +71,7 @@
       hears: () => null,
       roomElsewhere: () => world.room,
       imagesOf: () => new Map(),
+      cancellationsKnownUntil: () => world.knownUntil,
     },
     () => new Map([['m', machineType()]]),
     () => [],
@@ -198,6 +202,52 @@
   assert.equal(reply.kind === 'answer' ? reply.commands.length : 0, 1);
 });
 
+test('without current state leases are renewed only while no unknown cancellation can be overdue', () => {
+  const s = scene();
+  const running = { uid: 'job-000001', index: 0, attempt: 5 * ATTEMPTS_PER_TERM + 1 };
+  const task = { ...running, state: 'running' as const, why: null, saved: false };
+  const report = (counter: number, tasks = [task]) => ({
+    machine: 'x',
+    address: 'a:1',
+    type: 'm',
+    zone: 'z',
+    spot: false,
+    session: 1,
+    counter,
+    token: 5,
+    noticeS: null,
+    tasks,
+  });
+  const { cancelS, leaseS } = CONFIG.workers;
+  assert.equal(s.keeper.beat(report(1)).kind, 'answer');
+  s.world.valid = false;
+  s.world.knownUntil = 0;
+  s.world.now = renewableMs(cancelS * 1000, leaseS * 1000);
+  assert.equal(s.keeper.beat(report(2)).kind, 'answer');
+  s.world.now += 1;
+  assert.equal(s.keeper.beat(report(3)).kind, 'unavailable');
+  const m = s.keeper.owned.get(1)!.part.machines.get('x')!;
+  assert.equal(m.lastBeatAt, s.world.now, 'it is not taken for silent all the same');
+  s.mirror.learnCancelled({ uid: 'job-000001', tasks: 1, done: 0, epoch: 40 });
+  s.world.knownUntil = s.world.now;
+  s.keeper.tick();
+  const reply = s.keeper.beat(report(4));
+  assert.deepEqual(reply.kind === 'answer' && reply.commands, [
+    { op: 'stop', ...running, graceS: 0 },
+  ]);
+  // A listing or a change from before the cancellation does not bring the job back.
+  s.mirror.apply({
+    fresh: true,
+    epoch: 30,
+    whole: 30,
+    changes: [
+      { key: 'active/job-000001', value: encodeActive(job({}, 5, 1)), stamp: 13, removed: false },
+    ],
+  });
+  assert.equal(s.mirror.tables['active/'].has('job-000001'), false);
+  assert.equal(s.mirror.finals.get('job-000001')?.status, 'cancelled');
+});
+
 let lostValue: unknown = null;
 
 test('passing a stuck task: table', async () => {
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -37,9 +37,16 @@
 };
 
 /** A worker on loopback: reports to one node at a time and takes direct commands. */
-class WorkerHost extends StandInServer {
+export class WorkerHost extends StandInServer {
   worker!: FakeWorker;
   at = 0;
+  /** its reports reach no node, direct commands reach it */
+  mute = false;
+  /** its reports arrive, nothing that it is told does */
+  deaf = false;
+  /** ms after which copies of its reports arrive once more, at any node; null: never */
+  copyMs: number | null = null;
+  copies = 0;
   #stopped = false;
   #busy = false;
   #last = 0;
@@ -52,6 +59,7 @@
   }
 
   #command(r: Request): Reply {
+    if (this.deaf || this.worker.hung) return 'hang';
     const body = r.body as { Mandate: number; Tenure: number; Orders: WireOrder[] };
     this.worker.advance(Date.now());
     const executed = this.worker.direct(body.Mandate, body.Tenure, body.Orders.map(fromWire));
@@ -60,6 +68,10 @@
   }
 
   async #beat(nodes: readonly [string, string][]): Promise<void> {
+    if (this.mute || this.worker.hung) {
+      this.worker.advance(Date.now());
+      return;
+    }
     if (this.#busy || Date.now() - this.#last < 300) return;
     this.#busy = true;
     this.#last = Date.now();
@@ -67,10 +79,11 @@
     const report = this.worker.report();
     const sentAt = Date.now();
     const client = new CborClient(nodes[this.at]![1], 1);
+    if (this.copyMs !== null) this.#copyLater(nodes, report, this.copyMs);
     try {
       const answer = await client.call('POST', '/agent/beat', toWire(report), 1000);
       const body = answer.body as { Mandate?: number; Orders?: WireOrder[]; ReportsTo?: string };
-      if (this.#stopped) return;
+      if (this.#stopped || this.deaf || this.worker.hung) return;
       if (answer.status === 200) {
         const orders = (body.Orders ?? []).map(fromWire);
         this.worker.advance(Date.now());
@@ -87,6 +100,20 @@
     }
   }
 
+  /** Nobody waits for the answer to a copy. */
+  #copyLater(nodes: readonly [string, string][], report: Report, ms: number): void {
+    const timer = setTimeout(() => {
+      if (this.#stopped) return;
+      this.copies += 1;
+      const client = new CborClient(nodes[this.copies % nodes.length]![1], 1);
+      void client
+        .call('POST', '/agent/beat', toWire(report), 1000)
+        .catch(() => null)
+        .finally(() => client.close());
+    }, ms);
+    timer.unref();
+  }
+
   override close(): void {
     this.#stopped = true;
     if (this.#timer !== null) clearInterval(this.#timer);
--- /dev/null
+++ b/test/standins/cluster.ts
@@ -0,0 +1,205 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import pino from 'pino';
+import { parseOperator } from '../../src/config/operator.js';
+import type { PlatformConfig } from '../../src/config/platform.js';
+import type { Team } from '../../src/core/model.js';
+import { CborClient, type Answer } from '../../src/http.js';
+import { Service } from '../../src/service.js';
+import { FakeCloud, type WorkerHost } from './cloud.js';
+import { Link } from './link.js';
+import { FakeState, StateDoor } from './state.js';
+import { Ground } from './worker.js';
+
+/** Below the ports that the system hands out, so that nobody is given one between two lives of a node. */
+let nextPort = 10_000 + ((process.pid * 61) % 20_000);
+const freePort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const port = (nextPort += 1);
+    const s = createServer();
+    s.once('error', () => resolve(freePort()));
+    s.listen(port, '127.0.0.1', () => s.close(() => resolve(port)));
+  });
+
+export interface ClusterOptions {
+  readonly runMs: number;
+  readonly leaseS: number;
+  readonly cancelS: number;
+  readonly teams?: readonly Team[];
+}
+
+export const TEAM: Team = { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
+
+/** Whole controllers on loopback, each way between them and to the state service open to trouble. */
+export class Cluster {
+  readonly names = ['n0', 'n1', 'n2'];
+  readonly state = new FakeState();
+  readonly doors = new Map<string, StateDoor>();
+  readonly ground: Ground;
+  cloud!: FakeCloud;
+  readonly #services = new Map<string, Service>();
+  readonly #clients = new Map<string, CborClient>();
+  readonly #configs = new Map<string, PlatformConfig>();
+  /** ways between nodes, by `from to` */
+  readonly #links = new Map<string, Link>();
+  #count = 0;
+
+  constructor(readonly options: ClusterOptions) {
+    this.ground = new Ground(options.cancelS * 1000);
+  }
+
+  async open(): Promise<void> {
+    await this.state.start();
+    const listen = new Map<string, string>();
+    const peerListen = new Map<string, string>();
+    for (const n of this.names) {
+      listen.set(n, `127.0.0.1:${await freePort()}`);
+      peerListen.set(n, `127.0.0.1:${await freePort()}`);
+      const door = new StateDoor(this.state);
+      await door.start();
+      this.doors.set(n, door);
+    }
+    const { runMs, leaseS, cancelS, teams = [] } = this.options;
+    this.cloud = new FakeCloud(this.ground, [...listen], runMs, leaseS * 1000);
+    await this.cloud.start();
+    for (const node of this.names) {
+      const peers = [];
+      for (const other of this.names.filter((n) => n !== node)) {
+        const link = new Link();
+        await link.open(peerListen.get(other)!);
+        this.#links.set(`${node} ${other}`, link);
+        peers.push({ node: other, address: link.address });
+      }
+      this.#configs.set(node, {
+        node,
+        zone: 'z',
+        listen: listen.get(node)!,
+        peerListen: peerListen.get(node)!,
+        peers,
+        cloud: this.cloud.address,
+        state: this.doors.get(node)!.address,
+        nodes: this.names.length,
+        zones: ['z'],
+        teams: new Map([TEAM, ...teams].map((t) => [t.name, t])),
+        objectives: [],
+        workers: { reportS: 0.5, leaseS, gangWaitS: 10, gangPeerS: 2, cancelS },
+        stateLimits: { rps: 600, writeRps: 300, valueBytes: 8192, transactionOps: 8 },
+        cloudLimits: { rps: 60, listLagS: 0.2 },
+        sockets: 1000,
+      });
+      this.#clients.set(node, new CborClient(listen.get(node)!, 4));
+    }
+    await Promise.all(this.names.map((n) => this.start(n)));
+    for (const n of this.names) await this.until(`${n} ready`, 15, () => this.ready(n));
+  }
+
+  async start(node: string): Promise<void> {
+    const config = this.#configs.get(node)!;
+    const service = new Service(config, parseOperator('', ''), pino({ level: 'silent' }));
+    this.#services.set(node, service);
+    await service.start();
+  }
+
+  kill(node: string): void {
+    this.#services.get(node)?.close();
+    this.#services.delete(node);
+  }
+
+  /** Cuts a node from all other nodes, or lets it back. */
+  cutPeers(node: string, cut: boolean): void {
+    for (const [way, link] of this.#links) if (way.split(' ').includes(node)) link.cut = cut;
+  }
+
+  call(node: string, method: string, path: string, body?: unknown): Promise<Answer> {
+    return this.#clients.get(node)!.call(method, path, body, 3000);
+  }
+
+  async until(what: string, seconds: number, check: () => Promise<boolean> | boolean) {
+    const end = Date.now() + seconds * 1000;
+    while (!(await check())) {
+      assert.ok(Date.now() < end, `not within ${seconds} s: ${what}`);
+      this.ground.check(Date.now());
+      await sleep(100);
+    }
+  }
+
+  /** Time passes while the rules are watched. */
+  async pass(seconds: number): Promise<void> {
+    const end = Date.now() + seconds * 1000;
+    while (Date.now() < end) {
+      await sleep(100);
+      this.ground.check(Date.now());
+    }
+  }
+
+  async ready(node: string): Promise<boolean> {
+    return (await this.call(node, 'GET', '/ready').catch(() => null))?.status === 200;
+  }
+
+  async statusOf(node: string, uid: string): Promise<string> {
+    const a = await this.call(node, 'GET', `/submissions/${uid}`).catch(() => null);
+    return a?.status === 200 ? (a.body as { Status: string }).Status : String(a?.status);
+  }
+
+  submission(over: object = {}) {
+    return {
+      Uid: `job-${String(++this.#count).padStart(6, '0')}`,
+      Jobclass: 'c',
+      Owner: 't',
+      Shape: 'batch',
+      Rank: 'normal',
+      Pieces: 4,
+      Vcpus: 4,
+      Cards: 1,
+      MemGb: 8,
+      Bundle: 'i',
+      ImageGb: 1,
+      OneZone: false,
+      Spread: false,
+      Reclaimable: true,
+      GuessS: 2,
+      SnapshotEveryS: 0,
+      SnapshotS: 0,
+      ...over,
+    };
+  }
+
+  async submit(node: string, over: object = {}): Promise<string> {
+    const body = this.submission(over);
+    await this.until(`${body.Uid} accepted`, 20, async () => {
+      const a = await this.call(node, 'POST', '/submissions', body).catch(() => null);
+      return a?.status === 201 || a?.status === 200;
+    });
+    return body.Uid;
+  }
+
+  /** The user is told that the job is cancelled: from now on the rule's time runs. */
+  async cancel(node: string, uid: string): Promise<void> {
+    await this.until(`${uid} cancelled`, 20, async () => {
+      const a = await this.call(node, 'POST', `/submissions/${uid}/withdraw`).catch(() => null);
+      return a?.status === 200 && (a.body as { Status: string }).Status === 'cancelled';
+    });
+    this.ground.cancelledAt.set(uid, Date.now());
+  }
+
+  /** Tasks of the job that are on machines. */
+  running(uid: string): number {
+    let count = 0;
+    for (const [task, on] of this.ground.on) if (task.startsWith(`${uid}/`)) count += on.size;
+    return count;
+  }
+
+  hosts(): WorkerHost[] {
+    return [...this.cloud.machines.values()];
+  }
+
+  close(): void {
+    for (const n of this.names) this.kill(n);
+    for (const c of this.#clients.values()) c.close();
+    for (const l of this.#links.values()) l.close();
+    for (const d of this.doors.values()) d.close();
+    this.cloud.close();
+    this.state.close();
+  }
+}
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { StandInServer, type Reply, type Request } from './server.js';
 
 interface Item {
@@ -24,7 +25,7 @@
   out = false;
 
   async start(): Promise<void> {
-    await this.listen((r) => this.#handle(r));
+    await this.listen((r) => this.handle(r));
     this.#timer = setInterval(() => this.#expire(), 50);
   }
 
@@ -58,7 +59,7 @@
     return this.#epoch;
   }
 
-  async #handle(r: Request): Promise<Reply> {
+  async handle(r: Request): Promise<Reply> {
     if (this.out) return { status: 503, body: { error: 'trouble' } };
     if (r.path === '/multi') return this.#multi(r.body as never);
     if (r.path === '/leases') {
@@ -130,3 +131,37 @@
     super.close();
   }
 }
+
+/** One node's way to the state service, which can treat it otherwise than the others. */
+export class StateDoor extends StandInServer {
+  /** every call gets 503, and open watches wait, while other nodes are served */
+  refusing = false;
+  /** ms that each answer takes longer */
+  slowMs = 0;
+  /** transactions get no answer and are carried out this much later, after newer ones; null: none */
+  lateMs: number | null = null;
+  /** transactions that were carried out late */
+  late = 0;
+
+  constructor(private readonly state: FakeState) {
+    super();
+  }
+
+  async start(): Promise<void> {
+    await this.listen((r) => this.#pass(r));
+  }
+
+  async #pass(r: Request): Promise<Reply> {
+    if (this.refusing) return { status: 503, body: { error: 'trouble' } };
+    if (this.slowMs > 0) await sleep(this.slowMs);
+    if (r.path === '/multi' && this.lateMs !== null) {
+      void sleep(this.lateMs).then(() => {
+        this.late += 1;
+        return this.state.handle(r);
+      });
+      return 'hang';
+    }
+    const reply = await this.state.handle(r);
+    return this.refusing ? 'hang' : reply;
+  }
+}
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -7,9 +7,14 @@
   readonly cancelledAt = new Map<string, number>();
   readonly completed = new Map<string, Set<number>>();
   started = 0;
+  /** starts of jobs whose cancellation had been confirmed */
+  startedCancelled = 0;
+
+  constructor(private readonly cancelMs = CANCEL_MS) {}
 
   begin(task: string, machine: string, now: number): void {
     this.started += 1;
+    if (this.cancelledAt.has(task.slice(0, task.indexOf('/')))) this.startedCancelled += 1;
     const others = [...(this.on.get(task) ?? [])].filter((m) => m !== machine);
     if (others.length > 0) this.broken.push(`ran_twice ${task} on ${machine} and ${others[0]}`);
     const set = this.on.get(task) ?? new Set();
@@ -24,7 +29,7 @@
 
   checkCancelled(task: string, now: number): void {
     const at = this.cancelledAt.get(task.slice(0, task.indexOf('/')));
-    if (at !== undefined && now - at > CANCEL_MS && (this.on.get(task)?.size ?? 0) > 0) {
+    if (at !== undefined && now - at > this.cancelMs && (this.on.get(task)?.size ?? 0) > 0) {
       this.broken.push(`ran_cancelled ${task}`);
     }
   }
