--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -274,14 +274,14 @@
       const ends: string[] = [];
       for (let i = 0; i < 8; i++) {
         const uid = await c.submit(c.names[i % 3]!, { ...SMALL, Pieces: 2 });
-        await c.until('all tasks end', 20, () => (c.ground.completed.get(uid)?.size ?? 0) === 2);
-        // From just before the end is saved to just after it is. The canceller's read is old when its
+        await c.until('all of it runs', 20, () => c.running(uid) === 2);
+        // From well before the end is saved to just after it is. The canceller's read is old when its
         // transaction arrives, and others have been told of the end by then.
         const slow = c.doors.get(c.names[(i + 1) % 3]!)!;
-        slow.slowMs = 300;
-        await sleep(i * 60);
+        slow.slowWritesMs = 700;
+        await sleep(500 + i * 120);
         const asking = async () => {
-          for (let asked = 0; asked < 12; asked++) {
+          for (let asked = 0; asked < 24; asked++) {
             await c.statusOf(c.names[i % 3]!, uid);
             await sleep(50);
           }
@@ -291,7 +291,7 @@
           asking(),
           c.call(c.names[i % 3]!, 'POST', '/submissions', c.submission({ ...SMALL, Uid: uid })),
         ]);
-        slow.slowMs = 0;
+        slow.slowWritesMs = 0;
         for (const n of c.names) assert.equal(await c.statusOf(n, uid), end);
         ends.push(end);
       }
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -23,6 +23,11 @@
   #waiting: (() => void)[] = [];
   #timer: NodeJS.Timeout | null = null;
   out = false;
+  /** what a value, a transaction and a second may hold; they may fall at any moment */
+  limits = { valueBytes: 65_536, transactionOps: 1000, writeRps: Infinity };
+  /** transactions refused for their size, and for their number */
+  readonly refused = { size: 0, rate: 0 };
+  #tokens = { left: Infinity, at: 0 };
 
   async start(): Promise<void> {
     await this.listen((r) => this.handle(r));
@@ -82,7 +87,30 @@
     return { status: 200, body: { K: key, Value: item.value, Stamp: item.stamp } };
   }
 
+  /** Bursts of one second's worth. */
+  #rateRefuses(writes: number): boolean {
+    const now = Date.now();
+    const { writeRps } = this.limits;
+    if (writeRps === Infinity) return false;
+    const passed = (now - this.#tokens.at) / 1000;
+    this.#tokens = { left: Math.min(writeRps, this.#tokens.left + passed * writeRps), at: now };
+    if (this.#tokens.left < writes) return true;
+    this.#tokens.left -= writes;
+    return false;
+  }
+
   #multi(body: { When: { K: string; Stamp: number }[]; Writes: never[] }): Reply {
+    const { valueBytes, transactionOps } = this.limits;
+    const puts = body.Writes as { Value?: unknown }[];
+    const large = puts.some((w) => JSON.stringify(w.Value ?? null).length > valueBytes);
+    if (large || puts.length > transactionOps || body.When.length > 4 * transactionOps) {
+      this.refused.size += 1;
+      return { status: 400, body: { error: 'over the limits' } };
+    }
+    if (this.#rateRefuses(Math.max(1, puts.length))) {
+      this.refused.rate += 1;
+      return { status: 429, body: { error: 'too many' } };
+    }
     const failed = body.When.filter((c) => (this.items.get(c.K)?.stamp ?? 0) !== c.Stamp);
     if (failed.length > 0) {
       return { status: 409, body: { failed: failed.map((c) => c.K), Epoch: this.#epoch } };
@@ -138,6 +166,8 @@
   refusing = false;
   /** ms that each answer takes longer */
   slowMs = 0;
+  /** ms that each transaction takes longer on its way */
+  slowWritesMs = 0;
   /** every second transaction gets no answer and is carried out this much later, after newer ones */
   lateMs: number | null = null;
   #transactions = 0;
@@ -155,6 +185,7 @@
   async #pass(r: Request): Promise<Reply> {
     if (this.refusing) return { status: 503, body: { error: 'trouble' } };
     if (this.slowMs > 0) await sleep(this.slowMs);
+    if (r.path === '/multi' && this.slowWritesMs > 0) await sleep(this.slowWritesMs);
     if (r.path === '/multi') this.#transactions += 1;
     if (r.path === '/multi' && this.lateMs !== null && this.#transactions % 2 === 0) {
       void sleep(this.lateMs).then(() => {
