--- a/src/completions.ts
+++ b/src/completions.ts
@@ -2,11 +2,11 @@
 import type { PlatformConfig } from './config/platform.js';
 import { BATCH_BYTES, PROGRESS_MS, SAVE_MS, SLOT_FILL } from './constants.js';
 import type { JobState } from './core/books.js';
-import { allDone, encodeDone } from './core/jobs.js';
+import { allDone, encodeDone, rangeMost } from './core/jobs.js';
 import type { JobRecord, TaskRange } from './core/model.js';
 import type { Owned } from './keeper.js';
 import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { encodeDoneSlot, key, type DoneSlot } from './state/keys.js';
+import { encodeActive, encodeDoneSlot, key, type DoneSlot } from './state/keys.js';
 import type { Mirror } from './state/mirror.js';
 import type { Condition, Write } from './wire/schemas.js';
 
@@ -17,6 +17,8 @@
   readonly finished: string[];
 }
 
+const sizeOf = (slot: DoneSlot): number => JSON.stringify(encodeDoneSlot(slot)).length;
+
 /** Names of a range within a slot. */
 const rangeKey = (uid: string, from: number): string => `${uid}/${from}`;
 
@@ -36,7 +38,8 @@
 
   async save(index: number, owned: Owned, now: number): Promise<void> {
     if (owned.saving || now - owned.lastSave < SAVE_MS) return;
-    const batch = this.#collect(index, owned, now);
+    const smaller = this.#recut(index, owned) ?? this.#split(index);
+    const batch = smaller ?? this.#collect(index, owned, now);
     if (batch.writes.length === 0) return;
     owned.saving = true;
     try {
@@ -63,7 +66,7 @@
     let bytes = 0;
     for (const job of owned.part.jobs.values()) {
       const open = job.waiting.length + job.placed.size + job.passing.length > 0;
-      if (job.over || (job.unsaved.size === 0 && open)) continue;
+      if (job.over || job.spec.kind === 'service' || (job.unsaved.size === 0 && open)) continue;
       const { uid, tasks } = job.spec;
       const active = this.mirror.tables['active/'].get(uid);
       if (active === undefined) continue;
@@ -120,7 +123,7 @@
       const bits = this.#bits(job, [range]).get(range.from)!;
       const slot = this.#slotFor(slots, name, bits);
       if (!changed.has(slot)) {
-        const size = JSON.stringify(encodeDoneSlot(slots.get(slot)!)).length + bits.length;
+        const size = sizeOf(slots.get(slot)!) + bits.length;
         if (batch.writes.length + changed.size >= most || bytes + size > BATCH_BYTES) continue;
         bytes += size;
         changed.add(slot);
@@ -130,23 +133,103 @@
       batch.saved.push({ uid: job.spec.uid, indexes });
     }
     for (const slot of changed) {
-      const value = encodeDoneSlot(slots.get(slot)!);
-      batch.writes.push({ put: key.done(index, slot), value });
-      // A write without an answer may be carried out after newer ones, and would undo what those saved.
-      const stamp = this.mirror.tables['done/'].get(`${index}/${slot}`)?.stamp ?? 0;
-      batch.when.push({ key: key.done(index, slot), stamp });
+      this.#putSlot(batch, index, slot, slots.get(slot)!);
+    }
+  }
+
+  /**
+   * A range from a time of larger values, whose bitmap fits none now: its end becomes a range of its
+   * own, with its part of the bitmap, in one transaction. Whoever reads before or after sees all of it.
+   */
+  #recut(index: number, owned: Owned): Batch | null {
+    const { valueBytes } = this.config.stateLimits;
+    const most = rangeMost(valueBytes);
+    for (const { spec, over } of owned.part.jobs.values()) {
+      const active = over ? undefined : this.mirror.tables['active/'].get(spec.uid);
+      const long = active?.value.ranges.find((r) => r.part === index && r.to - r.from > most);
+      if (active === undefined || long === undefined) continue;
+      const middle = long.from + Math.ceil((long.to - long.from - most) / 4) * 4;
+      const ranges = active.value.ranges.flatMap((r) =>
+        r === long
+          ? [
+              { ...r, to: middle },
+              { ...r, from: middle },
+            ]
+          : [r],
+      );
+      const batch: Batch = { when: [], writes: [], saved: [], finished: [] };
+      const value = encodeActive({ ...active.value, ranges });
+      if (JSON.stringify(value).length > valueBytes) continue;
+      batch.writes.push({ put: key.active(spec.uid), value });
+      batch.when.push({ key: key.active(spec.uid), stamp: active.stamp });
+      // The value may still hold the bitmap of an earlier, longer cut.
+      const ends = [middle - long.from, long.to - long.from].map((i) => Math.ceil(i / 4));
+      const bits = this.mirror.done(index, spec.uid, long.from)?.slice(...ends);
+      if (bits !== undefined && bits.length > 0) {
+        const slots = this.#slots(index);
+        const name = rangeKey(spec.uid, middle);
+        const slot = this.#slotFor(slots, name, bits);
+        slots.get(slot)!.set(name, bits);
+        this.#putSlot(batch, index, slot, slots.get(slot)!);
+      }
+      return batch;
+    }
+    return null;
+  }
+
+  /**
+   * A slot from a time of larger values can't be rewritten as it is. What it has too much is copied to
+   * other slots first, if that takes more than one transaction, and leaves it with the last of them.
+   */
+  #split(index: number): Batch | null {
+    const { valueBytes, transactionOps } = this.config.stateLimits;
+    const slots = this.#slots(index);
+    for (const [n, slot] of slots) {
+      // What a range that can't be cut leaves too large stays as it is, readable.
+      const most = Math.max(0, ...[...slot.values()].map((bits) => bits.length));
+      if (sizeOf(slot) <= valueBytes || most > valueBytes * SLOT_FILL) continue;
+      const kept = new Map<string, string>();
+      const others = new Map([...slots].filter(([other]) => other !== n));
+      const changed = new Set<number>();
+      for (const [name, bits] of slot) {
+        const copied = [...others.values()].some((s) => s.get(name) === bits);
+        if (copied) continue;
+        if (sizeOf(kept) + bits.length + name.length < valueBytes * SLOT_FILL) {
+          kept.set(name, bits);
+          continue;
+        }
+        const target = this.#slotFor(others, name, bits, n);
+        others.get(target)!.set(name, bits);
+        changed.add(target);
+      }
+      const batch: Batch = { when: [], writes: [], saved: [], finished: [] };
+      const last = changed.size < transactionOps;
+      for (const target of [...changed].slice(0, transactionOps)) {
+        this.#putSlot(batch, index, target, others.get(target)!);
+      }
+      if (last) this.#putSlot(batch, index, n, kept);
+      return batch;
     }
+    return null;
+  }
+
+  #putSlot(batch: Batch, index: number, slot: number, value: DoneSlot): void {
+    batch.writes.push({ put: key.done(index, slot), value: encodeDoneSlot(value) });
+    // A write without an answer may be carried out after newer ones, and would undo what those saved.
+    const stamp = this.mirror.tables['done/'].get(`${index}/${slot}`)?.stamp ?? 0;
+    batch.when.push({ key: key.done(index, slot), stamp });
   }
 
-  /** The part's slots without what belongs to ended jobs. */
+  /** The part's slots without what belongs to ended jobs, or to ranges that end sooner now. */
   #slots(index: number): Map<number, Map<string, string>> {
     const out = new Map<number, Map<string, string>>();
     for (const [id, { value }] of this.mirror.tables['done/']) {
       if (!id.startsWith(`${index}/`)) continue;
-      const live = [...value].filter(([name]) => {
+      const live = [...value].flatMap(([name, bits]): [string, string][] => {
         const job = this.mirror.tables['active/'].get(name.slice(0, name.lastIndexOf('/')));
         const from = Number(name.slice(name.lastIndexOf('/') + 1));
-        return job?.value.ranges.some((r) => r.part === index && r.from === from) ?? false;
+        const range = job?.value.ranges.find((r) => r.part === index && r.from === from);
+        return range === undefined ? [] : [[name, bits.slice(0, Math.ceil((range.to - from) / 4))]];
       });
       out.set(Number(id.slice(id.indexOf('/') + 1)), new Map(live));
     }
@@ -154,13 +237,17 @@
   }
 
   /** The slot that holds the range already, else the first one with room, else a new one. */
-  #slotFor(slots: Map<number, Map<string, string>>, name: string, bits: string): number {
+  #slotFor(
+    slots: Map<number, Map<string, string>>,
+    name: string,
+    bits: string,
+    except = -1,
+  ): number {
     for (const [n, slot] of slots) if (slot.has(name)) return n;
     const room = this.config.stateLimits.valueBytes * SLOT_FILL - bits.length;
-    const sizeOf = (slot: DoneSlot) => JSON.stringify(encodeDoneSlot(slot)).length;
     let n = 0;
-    for (; slots.has(n); n++) {
-      if (sizeOf(slots.get(n)!) <= room) return n;
+    for (; slots.has(n) || n === except; n++) {
+      if (n !== except && sizeOf(slots.get(n)!) <= room) return n;
     }
     slots.set(n, new Map());
     return n;
--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -63,6 +63,14 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: z.number().int().positive(),
+      next: z
+        .object({
+          rps: positive.optional(),
+          write_rps: positive.optional(),
+          value_kb: positive.optional(),
+          txn_ops: z.number().int().positive().optional(),
+        })
+        .optional(),
     }),
     cloud: z.object({ rps: positive, list_lag_s: notNegative }),
     quota: z.object({ cores: positive, memory_mb: positive, max_sockets: positive }),
@@ -92,8 +100,11 @@
   readonly stateLimits: {
     readonly rps: number;
     readonly writeRps: number;
+    /** sizes are the smaller ones of now and of `next`: nothing tells when those come */
     readonly valueBytes: number;
     readonly transactionOps: number;
+    /** rates from some unannounced moment on; as now if nothing is announced */
+    readonly next: { readonly rps: number; readonly writeRps: number };
   };
   readonly cloudLimits: { readonly rps: number; readonly listLagS: number };
   readonly sockets: number;
@@ -149,8 +160,12 @@
     stateLimits: {
       rps: s.state.rps,
       writeRps: s.state.write_rps,
-      valueBytes: s.state.value_kb * 1024,
-      transactionOps: s.state.txn_ops,
+      valueBytes: Math.min(s.state.value_kb, s.state.next?.value_kb ?? Infinity) * 1024,
+      transactionOps: Math.min(s.state.txn_ops, s.state.next?.txn_ops ?? Infinity),
+      next: {
+        rps: Math.min(s.state.rps, s.state.next?.rps ?? Infinity),
+        writeRps: Math.min(s.state.write_rps, s.state.next?.write_rps ?? Infinity),
+      },
     },
     cloudLimits: { rps: s.cloud.rps, listLagS: s.cloud.list_lag_s },
     sockets: s.quota.max_sockets,
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -56,6 +56,10 @@
 export const SLOT_FILL = 0.6;
 
 // --- state service ------------------------------------------------------------------------------
+/** transactions remembered as refused for good, by keys and sizes; there should be none at all. */
+export const INVALID_KEPT = 200;
+/** conditions of a transaction for each put or delete that it may have; the protocol's limit. */
+export const CONDITIONS_PER_OP = 4;
 /** bytes; well under the 64 KiB of a transaction, keys and conditions included. */
 export const BATCH_BYTES = 40_000;
 /** tokens; a node with a small share may still send a transaction of this size at once. */
@@ -150,6 +154,11 @@
 export const WORKER_LEASE_MARGIN_MS = 1000;
 /** report intervals without a report after which a machine gets no new tasks. */
 export const SILENT_REPORTS = 2.2;
+/** the same for a machine with replicas of services: each second costs served time, and a machine
+ * that only lost a report or two says something within this. */
+export const LOST_REPORTS_SERVING = 3;
+/** ms; a replica that ran this long was well: its failures count anew. */
+export const REPLICA_WELL_MS = 60_000;
 /** report intervals without a report after which a machine is returned to the cloud. */
 export const LOST_REPORTS = 4.5;
 /** s; a stop whose task still runs after its grace and this is repeated with no grace. */
@@ -196,8 +205,17 @@
 export const NO_AIM_S = 600;
 /** tasks; a range is not cut smaller than this, since each range costs writes of its own. */
 export const RANGE_LEAST = 16;
-/** tasks; a range's completion bitmap (4 per character) must fit one value of the state service. */
+/** tasks; a range's completion bitmap (4 per character) must fit one value of the state service, which
+ * may allow less than this. */
 export const RANGE_MOST = 8192;
+/** bytes beside a bitmap in a value that holds one range: its name and the quotes. */
+export const RANGE_NAME_BYTES = 100;
+/** share of a value's limit that a job's record may fill when tasks pass: cuts add to it. */
+export const RECORD_FILL = 0.95;
+/** bytes of a machine's name in a record of machines, with its quotes and state */
+export const HOST_BYTES = 40;
+/** bytes of everything else in such a record: type and zone are short names */
+export const GROUP_BYTES = 300;
 /** ms; a waiting range that fits nowhere in its part may pass to another part after this. */
 export const PASS_AFTER_MS = 1500;
 /** ms; what other nodes say of their room comes about once a second, so passes are tried as often. */
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -20,7 +20,7 @@
   const team = teams.get(spec.team);
   if (team === undefined) return 'unknown_team';
   if (typesFor(spec, types).length === 0) return 'no_machine_type';
-  const atOnce = spec.kind === 'gang' ? spec.tasks : 1;
+  const atOnce = spec.kind === 'array' ? 1 : spec.tasks;
   if (team.cpusMax > 0 && spec.demand.cpus * atOnce > team.cpusMax) return 'over_team_limit';
   if (team.gpusMax > 0 && spec.demand.gpus * atOnce > team.gpusMax) return 'over_team_limit';
   return 'accept';
--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -3,6 +3,7 @@
   CLOCK_DRIFT,
   DEAF_REPORTS,
   LOST_REPORTS,
+  LOST_REPORTS_SERVING,
   ORDER_UNSENT_MS,
   PASS_AGAIN_MS,
   ROUNDING,
@@ -67,6 +68,8 @@
   over: boolean;
   pausedUntil: number;
   failures: number;
+  /** steady ms of the last of them */
+  failedAt: number;
   readonly avoid: Map<string, number>;
   /** by when its tasks should start, steady ms, as of the last look at the queue */
   due: number;
@@ -174,6 +177,12 @@
 /** No order to start it has left: it can be taken back at once. */
 export const neverSent = (p: Placement): boolean => !p.seen && !p.direct && p.sentCounter === null;
 
+/** Replicas of services run there. */
+export const serves = (m: MachineState): boolean => {
+  for (const p of m.tasks.values()) if (p.job.spec.kind === 'service' && p.seen) return true;
+  return false;
+};
+
 export const taskKey = (uid: string, index: number) => `${uid}/${index}`;
 
 /**
@@ -300,6 +309,7 @@
         over: false,
         pausedUntil: -Infinity,
         failures: 0,
+        failedAt: -Infinity,
         avoid: new Map(),
         due: Infinity,
         broken: false,
@@ -313,7 +323,8 @@
       for (let i = range.from; i < range.to; i++) {
         job.own.add(i);
         if (range.era !== this.term) job.inherited.add(i);
-        if (done.has(i)) job.saved.add(i);
+        // A service is never done, whatever somebody may have saved of it.
+        if (done.has(i) && spec.kind !== 'service') job.saved.add(i);
         else job.waiting.push(i);
       }
     }
@@ -507,12 +518,13 @@
   /** Silent for so long that the machine is better given back than waited for. */
   isLost(m: MachineState, now: number): boolean {
     const expected = m.everKnown || this.inherited(m);
-    return expected && this.#unreported(m, now);
+    // An answered return proves a replica gone sooner than the end of its lease does.
+    return expected && this.#unreported(m, now, serves(m) ? LOST_REPORTS_SERVING : LOST_REPORTS);
   }
 
   /** A machine that only answers commands reaches no controller: its lease ends with all that it runs. */
-  #unreported(m: MachineState, now: number): boolean {
-    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * LOST_REPORTS;
+  #unreported(m: MachineState, now: number, reports = LOST_REPORTS): boolean {
+    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * reports;
   }
 
   /**
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -130,7 +130,9 @@
     const s = input.stats.get(name);
     const runS = s?.runS ?? (need.spec.estimateS > 0 ? need.spec.estimateS : RUN_UNKNOWN_S);
     const perMachine = Math.max(1, timesIn(need.spec.demand, need.type));
-    const whole = (s?.tasksPerS ?? 0) * runS;
+    // Replicas never end, so their run time says nothing: what may arrive while a machine boots counts.
+    const service = need.spec.kind === 'service';
+    const whole = (s?.tasksPerS ?? 0) * (service ? need.type.bootS : runS);
     const atOnce = whole / input.parts;
     const elsewhere = input.elsewhere.get(name) ?? 0;
     const busy = need.running + need.waiting;
@@ -141,7 +143,8 @@
     if (isUrgent(name, input.objectives, need.type.bootS) || need.spec.kind !== 'array') {
       // What is to be kept beyond the work that is there is shared by the parts: if each kept its
       // share of the whole, the parts with more work than others would come on top.
-      const kept = whole + input.reserveSigma * Math.sqrt(whole) - busy - elsewhere;
+      const there = service ? 0 : busy + elsewhere;
+      const kept = whole + input.reserveSigma * Math.sqrt(whole) - there;
       soon = patient = busy + Math.max(0, kept) / input.parts;
       if (input.part.preempts) slack += Math.max(0, soon - busy) / perMachine;
     } else {
@@ -232,6 +235,10 @@
     } else if (m.condemned) {
       if (inUse(m)) m.leaving = true;
       else giveBack.push({ name: m.record.name, reason: 'fails tasks' });
+      // Replicas never end by themselves: they move, or the machine would stay for ever.
+      for (const p of [...m.tasks.values()]) {
+        if (p.job.spec.kind === 'service') part.requestStop(p, 0, now);
+      }
     } else if (m.noticeAt === null) staying.push(m);
   }
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,4 +1,4 @@
-import { RANGE_LEAST, RANGE_MOST } from '../constants.js';
+import { RANGE_LEAST, RANGE_MOST, RANGE_NAME_BYTES, SLOT_FILL } from '../constants.js';
 import type { JobRecord, JobSpec, TaskRange, Team } from './model.js';
 
 /** Completed tasks of a range as a bitmap in hex, four tasks a character, first task first. */
@@ -27,6 +27,16 @@
   return done;
 };
 
+/** What either of two bitmaps of the same range says is done; the longer one's length. */
+export const eitherDone = (a: string, b: string): string => {
+  const [long, short] = a.length >= b.length ? [a, b] : [b, a];
+  let out = '';
+  for (let c = 0; c < short.length; c++) {
+    out += (Number.parseInt(long[c]!, 16) | Number.parseInt(short[c]!, 16)).toString(16);
+  }
+  return out + long.slice(short.length);
+};
+
 export const hasLimit = (team: Team | undefined): boolean =>
   team !== undefined && (team.cpusMax > 0 || team.gpusMax > 0);
 
@@ -48,10 +58,22 @@
 /** The part that adopts a machine nobody recorded. */
 export const partOfMachine = (name: string, parts: number): number => hash(name) % parts;
 
+/** Tasks of a range whose bitmap fits a value of the state service, beside its name. */
+export const rangeMost = (valueBytes: number): number =>
+  Math.max(
+    RANGE_LEAST,
+    Math.min(RANGE_MOST, 4 * Math.floor(valueBytes * SLOT_FILL - RANGE_NAME_BYTES)),
+  );
+
 /** Cuts a job into ranges; the parts are chosen by the caller. */
-export const cutRanges = (tasks: number, parts: number, whole: boolean): [number, number][] => {
+export const cutRanges = (
+  tasks: number,
+  parts: number,
+  whole: boolean,
+  most = RANGE_MOST,
+): [number, number][] => {
   const wanted = whole ? tasks : Math.max(RANGE_LEAST, Math.ceil(tasks / parts));
-  const size = Math.min(wanted, RANGE_MOST);
+  const size = Math.min(wanted, most);
   const out: [number, number][] = [];
   for (let from = 0; from < tasks; from += size) out.push([from, Math.min(tasks, from + size)]);
   return out;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -22,7 +22,10 @@
   readonly uid: string;
   readonly jobClass: string;
   readonly team: string;
-  /** array: independent tasks; gang: all at once or none; service: as array, but never done */
+  /**
+   * array: independent tasks, each runs to completion; gang: all at once or none; service: its tasks
+   * (replicas) run until the job is cancelled, so whatever ends is started again
+   */
   readonly kind: 'array' | 'gang' | 'service';
   readonly priority: Priority;
   readonly tasks: number;
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,4 +1,11 @@
-import { AVOID_MS, FULL_PAUSE_MS, IGNORED_ORDERS, JOB_PAUSE_S, SICK_JOBS } from '../constants.js';
+import {
+  AVOID_MS,
+  FULL_PAUSE_MS,
+  IGNORED_ORDERS,
+  JOB_PAUSE_S,
+  REPLICA_WELL_MS,
+  SICK_JOBS,
+} from '../constants.js';
 import {
   neverSent,
   taskKey,
@@ -133,7 +140,8 @@
     t: ReportedTask,
     now: number,
   ): void {
-    if (t.why === 'done' && job !== undefined && !job.over && job.own.has(t.index)) {
+    const service = job?.spec.kind === 'service';
+    if (t.why === 'done' && job !== undefined && !service && !job.over && job.own.has(t.index)) {
       const indexes = job.spec.kind === 'gang' ? [...job.own] : [t.index];
       const news = indexes.filter((i) => !job.saved.has(i) && !job.unsaved.has(i));
       // Completed tasks stay in the list for a while. Taken as news each time, they would make a
@@ -153,6 +161,8 @@
     }
     if (p === undefined) return;
     if (t.why === 'error' && job !== undefined) this.#failed(m, job, now);
+    // A replica that ends by itself starts again; one that does so at once, ever more slowly.
+    if (t.why === 'done' && service) this.#ended(job!, now);
     if (t.why === 'no_room') m.fullUntil = now + FULL_PAUSE_MS;
     if (t.why === 'unknown' && job !== undefined) this.#pause(job, now);
     this.books.release(p, now, t.saved ? 'saved' : (t.why ?? 'gone'));
@@ -169,7 +179,13 @@
     const again = (job.avoid.get(m.record.name) ?? -Infinity) > now;
     job.avoid.set(m.record.name, now + AVOID_MS);
     if (again) return;
-    job.failures += 1;
+    this.#ended(job, now);
+  }
+
+  #ended(job: JobState, now: number): void {
+    const well = job.spec.kind === 'service' && now - job.failedAt > REPLICA_WELL_MS;
+    job.failures = well ? 1 : job.failures + 1;
+    job.failedAt = now;
     if (job.failures > 1) this.#pause(job, now);
   }
 
@@ -181,8 +197,10 @@
 
   #saveBeforeNotice(m: MachineState, now: number): void {
     for (const p of m.tasks.values()) {
-      if (p.stop === null && p.job.spec.checkpointS > 0)
-        this.books.requestStop(p, p.job.spec.saveS + 1, now);
+      const { checkpointS, saveS, kind } = p.job.spec;
+      // A replica loses nothing by being stopped; the sooner it is gone, the sooner it runs elsewhere.
+      if (p.stop === null && kind === 'service') this.books.requestStop(p, 0, now);
+      else if (p.stop === null && checkpointS > 0) this.books.requestStop(p, saveS + 1, now);
       if (neverSent(p)) this.books.release(p, now);
     }
   }
--- a/src/core/rooms.ts
+++ b/src/core/rooms.ts
@@ -4,6 +4,29 @@
 import { fits, timesIn, type Resources } from './model.js';
 import { unusedVolume } from './placement.js';
 
+interface Choice {
+  readonly m: MachineState;
+  /** half of the service's replicas are there already */
+  readonly crowded: boolean;
+  readonly held: boolean;
+  readonly replicas: number;
+  readonly volume: number;
+}
+
+const isBetter = (a: Choice, b: Choice): boolean => {
+  if (a.crowded !== b.crowded) return !a.crowded;
+  if (a.held !== b.held) return a.held;
+  if (a.replicas !== b.replicas) return a.replicas < b.replicas;
+  if (Math.abs(a.volume - b.volume) > EQUAL_VOLUME) return a.volume < b.volume;
+  return a.m.record.name < b.m.record.name;
+};
+
+const replicasOn = (m: MachineState, job: JobState): number => {
+  let count = 0;
+  for (const p of job.placed.values()) if (p.machine === m) count += 1;
+  return count;
+};
+
 /**
  * The machines that could take anything of a queue, for one pass over it. The choice among them is
  * the same as among all machines: those left out could take nothing. What a job could not get, a job
@@ -71,9 +94,10 @@
   }
 
   /**
-   * The most matched machine for the demand: least unused volume, then the name. Exception: fetching
-   * an image takes longer than the aims for starts allow, and the slot does nothing useful meanwhile.
-   * Machines that hold it come first; the volume decides among them.
+   * The most matched machine for the demand: least unused volume, then the name. Exceptions: fetching
+   * an image takes longer than the aims for starts allow, and the slot does nothing useful meanwhile,
+   * so machines that hold it come first. And one machine's loss should leave half of a service, and
+   * rather more, so machines with fewer of its replicas come first.
    */
   best(
     job: JobState,
@@ -81,28 +105,23 @@
     partner: JobState | null = null,
     zone: string | null = null,
   ): MachineState | null {
-    const { image } = job.spec;
-    let best: MachineState | null = null;
-    let bestVolume = Infinity;
-    let bestHeld = false;
+    const { image, kind, tasks } = job.spec;
+    let best: Choice | null = null;
     for (const m of this.#rooms) {
       if (zone !== null && m.record.zone !== zone) continue;
       if (!fits(demand, m.free) || !allowedOn(m, job, this.now)) continue;
       if (partner !== null && !allowedOn(m, partner, this.now)) continue;
-      const held = m.images.has(image);
-      if (bestHeld && !held) continue;
-      const volume = unusedVolume(m.free, this.books.largest);
-      const better =
-        best === null ||
-        (held && !bestHeld) ||
-        volume < bestVolume - EQUAL_VOLUME ||
-        (volume <= bestVolume + EQUAL_VOLUME && m.record.name < best.record.name);
-      if (!better) continue;
-      best = m;
-      bestVolume = volume;
-      bestHeld = held;
+      const replicas = kind === 'service' ? replicasOn(m, job) : 0;
+      const choice: Choice = {
+        m,
+        crowded: replicas >= Math.ceil(tasks / 2),
+        held: m.images.has(image),
+        replicas,
+        volume: unusedVolume(m.free, this.books.largest),
+      };
+      if (best === null || isBetter(choice, best)) best = choice;
     }
-    return best;
+    return best?.m ?? null;
   }
 
   /** After something was placed on the machine. */
--- a/src/passing.ts
+++ b/src/passing.ts
@@ -6,6 +6,7 @@
   PASS_EVERY_MS,
   PASS_TRIES,
   RANGES_MOST,
+  RECORD_FILL,
   STATE_PAUSE_MS,
 } from './constants.js';
 import { hasGuarantee, hasLimit } from './core/jobs.js';
@@ -82,9 +83,10 @@
       const moved = { from, to: r.to, ...to };
       return from > r.from ? [{ ...r, to: from }, moved] : [moved];
     });
-    const writes: Write[] = [
-      { put: key.active(uid), value: encodeActive({ ...active.value, ranges }) },
-    ];
+    const value = encodeActive({ ...active.value, ranges });
+    const { valueBytes } = this.config.stateLimits;
+    if (JSON.stringify(value).length > valueBytes * RECORD_FILL) return;
+    const writes: Write[] = [{ put: key.active(uid), value }];
     // A part of the range may be saved under the old cut; the bitmap's end is simply cut off.
     const when = [
       { key: key.part(index), stamp: owned.stamp },
@@ -114,6 +116,10 @@
       } catch (error) {
         if (!(error instanceof StateTrouble)) throw error;
         if (!this.stillOwned(index, owned)) return;
+        if (error.kind === 'invalid') {
+          owned.part.endPass(job, false, this.now());
+          return;
+        }
         await sleep(STATE_PAUSE_MS);
       }
     }
--- a/src/rentals.ts
+++ b/src/rentals.ts
@@ -3,6 +3,8 @@
 import type { PlatformConfig } from './config/platform.js';
 import {
   ADOPT_MS,
+  GROUP_BYTES,
+  HOST_BYTES,
   LIST_MS,
   NO_CAPACITY_MS,
   RENT_MOST,
@@ -35,6 +37,8 @@
   readonly #unrecorded = new Map<string, number>();
   readonly #adopting = new Set<string>();
   readonly addresses = new Map<string, string>();
+  /** machines of one rental: their record must fit a value of the state service */
+  readonly #rentMost: number;
   #lastPlan = -Infinity;
   #lastCapped = -Infinity;
   #lastList = -Infinity;
@@ -56,7 +60,10 @@
     private readonly now: () => number,
     private readonly nowOfDay: () => number,
     private readonly log: Logger,
-  ) {}
+  ) {
+    const room = Math.floor((config.stateLimits.valueBytes - GROUP_BYTES) / HOST_BYTES);
+    this.#rentMost = Math.max(1, Math.min(RENT_MOST, room));
+  }
 
   tick(): void {
     const now = this.now();
@@ -111,8 +118,8 @@
     }
     const wishes: Wish[] = [];
     for (const wish of plan.rent) {
-      for (let left = wish.count; left > 0; left -= RENT_MOST) {
-        wishes.push({ ...wish, count: Math.min(left, RENT_MOST) });
+      for (let left = wish.count; left > 0; left -= this.#rentMost) {
+        wishes.push({ ...wish, count: Math.min(left, this.#rentMost) });
       }
     }
     if (wishes.length > 0) void this.#newHires(index, owned, wishes);
--- a/src/service.ts
+++ b/src/service.ts
@@ -42,7 +42,7 @@
 import { randomFrom } from './random.js';
 import { Rentals } from './rentals.js';
 import { shareSockets } from './sockets.js';
-import { StateClient } from './state/client.js';
+import { StateClient, type StateLimits } from './state/client.js';
 import { Currency } from './state/currency.js';
 import { NodeLease } from './state/lease.js';
 import { feed, Mirror, type FeedBatch } from './state/mirror.js';
@@ -94,15 +94,13 @@
     const seed = (timeOfDayMs() * 1000 + Math.floor(steadyMs() * 1000) + process.pid) | 0;
     this.#random = randomFrom(seed);
     this.#incarnation = `${timeOfDayMs().toString(36)}${this.#random(2 ** 30).toString(36)}`;
-    const { rps, writeRps } = config.stateLimits;
     this.#sharing = config.nodes;
     this.#state = new StateClient(
       config.state,
-      {
-        rps: (rps * operator.stateRequestShare) / config.nodes,
-        writeRps: (writeRps * operator.stateWriteShare) / config.nodes,
-      },
+      this.#stateShare(config.nodes),
+      config.stateLimits,
       this.#now,
+      log,
     );
     this.#currency = new Currency(this.#state, this.#mirror, this.#now);
     const cloudRps = (config.cloudLimits.rps * operator.cloudRequestShare) / config.nodes;
@@ -163,6 +161,7 @@
       },
       config.teams,
       config.nodes,
+      config.stateLimits.valueBytes,
       operator.loadThreshold,
       this.#now,
     );
@@ -302,15 +301,21 @@
     const nodes = Math.min(this.config.nodes, Math.max(1, alive));
     if (nodes === this.#sharing) return;
     this.#sharing = nodes;
-    const { rps, writeRps } = this.config.stateLimits;
-    const { stateRequestShare, stateWriteShare, cloudRequestShare } = this.operator;
-    this.#state.setLimits({
-      rps: (rps * stateRequestShare) / nodes,
-      writeRps: (writeRps * stateWriteShare) / nodes,
-    });
+    this.#state.setLimits(this.#stateShare(nodes));
+    const { cloudRequestShare } = this.operator;
     this.#cloud.setRate((this.config.cloudLimits.rps * cloudRequestShare) / nodes);
   }
 
+  #stateShare(nodes: number): StateLimits {
+    const { rps, writeRps, next } = this.config.stateLimits;
+    const { stateRequestShare, stateWriteShare } = this.operator;
+    const share = (l: { rps: number; writeRps: number }) => ({
+      rps: (l.rps * stateRequestShare) / nodes,
+      writeRps: (l.writeRps * stateWriteShare) / nodes,
+    });
+    return { ...share({ rps, writeRps }), next: share(next) };
+  }
+
   /** Arrivals, when there are new ones, and what other nodes have learned of run times. */
   #learn(): void {
     if (this.#learned === this.#mirror.version) return;
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,5 +1,8 @@
+import type { Logger } from 'pino';
 import {
   BACKOFF_429_MS,
+  CONDITIONS_PER_OP,
+  INVALID_KEPT,
   STATE_BURST_LEAST,
   STATE_BURST_S,
   STATE_CALL_MS,
@@ -26,7 +29,7 @@
 /** The state service did not carry the call out (503, 429) or did not answer (unknown). */
 export class StateTrouble extends Error {
   constructor(
-    readonly kind: 'refused' | 'no_answer' | 'busy',
+    readonly kind: 'refused' | 'no_answer' | 'busy' | 'invalid',
     message: string,
   ) {
     super(message);
@@ -34,7 +37,15 @@
 }
 
 /** Order in which calls get tokens. */
-export const CALL = { renew: 0, feed: 1, acceptance: 2, completion: 3, read: 4, rest: 5 } as const;
+export const CALL = {
+  renew: 0,
+  feed: 1,
+  cancellation: 2,
+  acceptance: 3,
+  completion: 4,
+  read: 5,
+  rest: 6,
+} as const;
 export type CallClass = (typeof CALL)[keyof typeof CALL];
 
 export interface Entry {
@@ -67,8 +78,18 @@
 export interface StateLimits {
   readonly rps: number;
   readonly writeRps: number;
+  /** what is allowed from some moment on, which a 429 tells; as now if nothing is announced */
+  readonly next?: { readonly rps: number; readonly writeRps: number };
 }
 
+/** What the state service takes at the most, now and later. */
+export interface StateSizes {
+  readonly valueBytes: number;
+  readonly transactionOps: number;
+}
+
+const keyOf = (w: Write): string => ('put' in w ? w.put : w.drop);
+
 const burst = (rate: number) => Math.max(STATE_BURST_LEAST, rate * STATE_BURST_S);
 
 /** The one place for calls to the state service. */
@@ -77,17 +98,23 @@
   readonly #watch: CborClient;
   readonly #requests: TokenBucket;
   readonly #writes: TokenBucket;
-  readonly #queues: Waiter[][] = [[], [], [], [], [], []];
+  readonly #queues: Waiter[][] = Object.values(CALL).map(() => []);
   #queued = 0;
   #timer: NodeJS.Timeout | null = null;
   /** steady ms of the last answer that shows the service working */
   lastGood = -Infinity;
   #troubles = 0;
+  /** the limits that have come down to what was announced */
+  /** what was refused for good: the same is not sent again */
+  readonly #invalid = new Set<string>();
+  readonly #lowered = { rps: false, writeRps: false };
 
   constructor(
     address: string,
-    limits: StateLimits,
+    private limits: StateLimits,
+    private readonly sizes: StateSizes,
     private readonly now: () => number,
+    private readonly log: Logger,
   ) {
     this.#http = new CborClient(address, STATE_SOCKETS);
     this.#watch = new CborClient(address, 2);
@@ -138,8 +165,20 @@
 
   /** The node's share of the limits changes with the number of nodes that live. */
   setLimits(limits: StateLimits): void {
-    this.#requests.setRate(limits.rps, burst(limits.rps), this.now());
-    this.#writes.setRate(limits.writeRps, burst(limits.writeRps), this.now());
+    this.limits = limits;
+    const rate = (k: 'rps' | 'writeRps') =>
+      this.#lowered[k] && limits.next !== undefined ? limits.next[k] : limits[k];
+    this.#requests.setRate(rate('rps'), burst(rate('rps')), this.now());
+    this.#writes.setRate(rate('writeRps'), burst(rate('writeRps')), this.now());
+  }
+
+  /** A 429 although we kept to our share: the limit may have come down to what was announced. */
+  #lower(k: 'rps' | 'writeRps'): void {
+    const next = this.limits.next?.[k];
+    if (this.#lowered[k] || next === undefined || next >= this.limits[k]) return;
+    this.#lowered[k] = true;
+    this.setLimits(this.limits);
+    this.log.info({ limit: k, share: next }, 'state service refuses: lower limit from now on');
   }
 
   /** ms until a write of this class that comes now would probably leave. */
@@ -176,6 +215,7 @@
     }
     if (answer.status === 429) {
       (writes > 0 ? this.#writes : this.#requests).block(BACKOFF_429_MS, this.now());
+      this.#lower(writes > 0 ? 'writeRps' : 'rps');
       throw new StateTrouble('refused', `${method} ${path}: 429`);
     }
     if (answer.status >= 500) {
@@ -206,17 +246,38 @@
     };
   }
 
-  /** 400 means an expired lease or a malformed transaction; both are errors of the caller. */
+  /** Larger than the service may take, now or from some moment on: it is not even sent. */
+  #checkSizes(when: readonly Condition[], writes: readonly Write[]): string {
+    const { valueBytes, transactionOps } = this.sizes;
+    const sizes = writes.map((w) => ('put' in w ? JSON.stringify(w.value).length : 0));
+    const shape = writes.map((w, i) => `${keyOf(w)} ${sizes[i]}`).join();
+    if (this.#invalid.has(shape)) throw new StateTrouble('invalid', 'refused before as it is');
+    const large = writes.find((_, i) => sizes[i]! > valueBytes);
+    const many = writes.length > transactionOps || when.length > transactionOps * CONDITIONS_PER_OP;
+    if (large === undefined && !many) return shape;
+    const key = large === undefined ? null : keyOf(large);
+    return this.#refused(shape, { key, writes: writes.length, conditions: when.length });
+  }
+
+  #refused(shape: string, what: object): never {
+    if (this.#invalid.size >= INVALID_KEPT) this.#invalid.clear();
+    this.#invalid.add(shape);
+    this.log.error(what, 'transaction over the limits of the state service');
+    throw new StateTrouble('invalid', `transaction over the limits: ${JSON.stringify(what)}`);
+  }
+
+  /** Checked against the limits first; a 400 all the same is an error of the caller, and logged. */
   async transact(
     cls: CallClass,
     when: readonly Condition[],
     writes: readonly Write[],
   ): Promise<Outcome> {
+    const shape = this.#checkSizes(when, writes);
     const body = transactionBody(when, writes);
     const a = await this.#call(cls, 'POST', '/multi', body, Math.max(1, writes.length));
     if (a.status === 200) return { ok: true, epoch: committed.parse(a.body).Epoch };
     if (a.status === 409) return { ok: false, failed: conflict.parse(a.body).failed ?? [] };
-    throw new Error(`transaction refused: ${a.status} ${JSON.stringify(a.body)}`);
+    return this.#refused(shape, { status: a.status, answer: a.body, keys: writes.map(keyOf) });
   }
 
   /** Writes a key attached to a lease; null if the lease has ended. */
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -5,6 +5,7 @@
 import { StateTrouble, type Change, type StateClient } from './client.js';
 import type { Write } from '../wire/schemas.js';
 import type { Cancellation } from '../core/cancellations.js';
+import { eitherDone } from '../core/jobs.js';
 import type { MachineRecord } from '../core/model.js';
 import {
   FINAL,
@@ -230,16 +231,21 @@
     return changed;
   }
 
-  /** Completed tasks of a range as its part has saved them. */
+  /**
+   * Completed tasks of a range as its part has saved them. While a value that has become too large is
+   * taken apart, a range may stand in two of them; tasks that are done stay done.
+   */
   done(part: number, uid: string, from: number): string | undefined {
     const range = `${uid}/${from}`;
+    let found: string | undefined;
     // A part has a handful of slots at most.
     for (const [id, { value }] of this.tables['done/']) {
       if (!id.startsWith(`${part}/`)) continue;
       const bits = value.get(range);
-      if (bits !== undefined) return bits;
+      if (bits === undefined) continue;
+      found = found === undefined ? bits : eitherDone(found, bits);
     }
-    return undefined;
+    return found;
   }
 
   /** A cancellation that another node tells of, ahead of the feed, and without the state service. */
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -11,6 +11,7 @@
   choosePart,
   cutRanges,
   partOfTeam,
+  rangeMost,
   staysWhole,
   hasLimit,
   hasGuarantee,
@@ -58,6 +59,7 @@
     private readonly routing: Routing,
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly parts: number,
+    private readonly valueBytes: number,
     private readonly loadThreshold: number,
     private readonly now: () => number,
   ) {
@@ -132,7 +134,11 @@
     const ranges = this.#route(spec);
     if (ranges === null) return { kind: 'undecided', reason: 'parts have no owner yet' };
     const record: JobRecord = { spec: this.#compact(spec, types), at: nowMs, ranges };
-    const writes: Write[] = [{ put: key.active(spec.uid), value: encodeActive(record) }];
+    const value = encodeActive(record);
+    if (JSON.stringify(value).length > this.valueBytes) {
+      return { kind: 'never', reason: 'record_too_large' };
+    }
+    const writes: Write[] = [{ put: key.active(spec.uid), value }];
     const result = await this.client.transact(
       CALL.acceptance,
       [
@@ -152,7 +158,8 @@
 
   /** Long lists of machine types are cut to those that exist, to fit a value's size. */
   #compact(spec: JobSpec, types: ReadonlyMap<string, MachineType>): JobSpec {
-    if (spec.types === null || spec.types.length * NAME_LIMIT < TYPE_LIST_BYTES) return spec;
+    const most = Math.min(TYPE_LIST_BYTES, this.valueBytes / 4);
+    if (spec.types === null || spec.types.length * NAME_LIMIT < most) return spec;
     return { ...spec, types: [...new Set(spec.types)].filter((t) => types.has(t)) };
   }
 
@@ -165,7 +172,7 @@
     const home = booked
       ? partOfTeam(spec.team, this.parts)
       : choosePart(loads, this.loadThreshold, (n) => this.routing.random(n));
-    for (const [from, to] of cutRanges(spec.tasks, this.parts, whole)) {
+    for (const [from, to] of cutRanges(spec.tasks, this.parts, whole, rangeMost(this.valueBytes))) {
       const part = whole
         ? home
         : choosePart(loads, this.loadThreshold, (n) => this.routing.random(n));
@@ -190,7 +197,7 @@
       const final: FinalState = { status: 'cancelled', tasks: answer.job.spec.tasks, done: 0 };
       const writes: Write[] = [{ drop: key.active(uid) }, { put: key.final(uid), value: final }];
       const result = await this.client.transact(
-        CALL.acceptance,
+        CALL.cancellation,
         [{ key: key.active(uid), stamp: answer.stamp }],
         writes,
       );
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -101,3 +101,36 @@
   part.sync(store, now);
   return part;
 };
+
+/** The platform's file, as small as it may be. */
+export const PLATFORM = `
+node = "n-0"
+site = "z"
+serve_on = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+unknown_field = 1
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[settings]
+nodes = 3
+zones = ["z"]
+[settings.workers]
+report_s = 3.0
+lease_s = 18.0
+gang_wait_s = 50.0
+gang_peer_s = 6.0
+cancel_s = 38.0
+[settings.state]
+rps = 250.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 16
+[settings.cloud]
+rps = 4.0
+list_lag_s = 6.0
+[settings.quota]
+cores = 0.5
+memory_mb = 242.0
+max_sockets = 1500
+`;
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,292 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import pino from 'pino';
+import { Completions } from '../src/completions.js';
+import { ConfigError, parsePlatform, type PlatformConfig } from '../src/config/platform.js';
+import { PROGRESS_MS, SAVE_MS, SLOT_FILL } from '../src/constants.js';
+import { cutRanges, decodeDone, encodeDone, rangeMost } from '../src/core/jobs.js';
+import type { JobRecord } from '../src/core/model.js';
+import type { Part } from '../src/core/part.js';
+import type { Owned } from '../src/keeper.js';
+import { CALL, StateClient, StateTrouble, type Outcome } from '../src/state/client.js';
+import { encodeActive } from '../src/state/keys.js';
+import { Mirror } from '../src/state/mirror.js';
+import type { Condition, Write } from '../src/wire/schemas.js';
+import { job, partWith, PLATFORM, Store } from './helpers.js';
+import { Cluster } from './standins/cluster.js';
+import { FakeState } from './standins/state.js';
+
+/** Limits of the state service that fall at a moment that nobody announces. */
+const LOG = pino({ level: 'silent' });
+
+test("the platform's `state.next`: the smaller sizes hold from the start, wrong keys are named", () => {
+  const next = (lines: string) => `${PLATFORM}\n[settings.state.next]\n${lines}\n`;
+  const good: [string, number, number, number][] = [
+    [PLATFORM, 8192, 16, 25],
+    [next('value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 18.0'), 2048, 5, 18],
+    [next('value_kb = 16.0\ntxn_ops = 50'), 8192, 16, 25],
+    [next('later_field = 1'), 8192, 16, 25],
+  ];
+  for (const [text, valueBytes, transactionOps, writeRps] of good) {
+    const { stateLimits } = parsePlatform('f', text);
+    assert.equal(stateLimits.valueBytes, valueBytes);
+    assert.equal(stateLimits.transactionOps, transactionOps);
+    assert.equal(stateLimits.writeRps, 25);
+    assert.equal(stateLimits.next.writeRps, writeRps);
+  }
+  for (const key of [
+    'value_kb = "x"',
+    'txn_ops = 0',
+    'txn_ops = 1.5',
+    'write_rps = -1',
+    'rps = 0',
+  ]) {
+    const name = key.split(' ')[0]!;
+    assert.throws(
+      () => parsePlatform('f', next(key)),
+      (e: unknown) =>
+        e instanceof ConfigError &&
+        e.problems.some((p) => p.startsWith(`settings.state.next.${name}`)),
+      key,
+    );
+  }
+});
+
+test('ranges are cut so that the bitmap of each fits a value: table', () => {
+  for (const valueBytes of [8192, 2048, 1024, 512]) {
+    for (const tasks of [1, 17, 4096, 100_000]) {
+      const most = rangeMost(valueBytes);
+      for (const [from, to] of cutRanges(tasks, 3, false, most)) {
+        const bits = encodeDone({ from, to }, new Set());
+        const slot = { [`job-${'9'.repeat(20)}/${from}`]: bits };
+        assert.ok(JSON.stringify(slot).length <= valueBytes * SLOT_FILL, `${valueBytes} ${tasks}`);
+      }
+    }
+  }
+});
+
+/** A part whose values were written when they could be larger, on a service that allows less now. */
+const scene = (valueBytes: number, transactionOps: number) => {
+  const mirror = new Mirror();
+  const values = new Map<string, { value: unknown; stamp: number }>();
+  let epoch = 10;
+  const world = { most: 0, now: 0 };
+  const show = (target = mirror) => {
+    const changes = [...values].map(([key, v]) => ({ key, ...v, removed: false }));
+    target.apply({ fresh: true, epoch, whole: epoch, changes });
+  };
+  const client = {
+    transact: (
+      _c: unknown,
+      when: readonly Condition[],
+      writes: readonly Write[],
+    ): Promise<Outcome> => {
+      assert.ok(writes.length <= transactionOps, `${writes.length} changes`);
+      for (const w of writes) {
+        if (!('put' in w)) continue;
+        const size = JSON.stringify(w.value).length;
+        assert.ok(size <= valueBytes, `${w.put}: ${size} bytes`);
+        world.most = Math.max(world.most, size);
+      }
+      const failed = when.filter((c) => (values.get(c.key)?.stamp ?? 0) !== c.stamp);
+      if (failed.length > 0)
+        return Promise.resolve({ ok: false, failed: failed.map((c) => c.key) });
+      epoch += 1;
+      for (const w of writes) {
+        if ('drop' in w) values.delete(w.drop);
+        else values.set(w.put, { value: w.value, stamp: epoch });
+      }
+      return Promise.resolve({ ok: true, epoch });
+    },
+  };
+  const config = {
+    stateLimits: { rps: 1, writeRps: 1, valueBytes, transactionOps },
+  } as unknown as PlatformConfig;
+  const completions = new Completions(config, client, mirror, () => world.now, LOG);
+  const own = (part: Part): Owned => ({
+    part,
+    stamp: 1,
+    suspended: false,
+    saving: false,
+    lastSave: 0,
+    lastProgress: 0,
+    fresh: false,
+    claiming: new Set(),
+  });
+  const save = async (part: Part) => {
+    world.now += PROGRESS_MS + SAVE_MS;
+    await completions.save(0, own(part), world.now);
+    show();
+  };
+  /** What a node that starts now knows to be done, whichever of two copies it meets first. */
+  const known = (uid: string): Set<number> => {
+    const fresh = new Mirror();
+    show(fresh);
+    const out = new Set<number>();
+    for (const r of fresh.tables['active/'].get(uid)!.value.ranges) {
+      const bits = fresh.done(r.part, uid, r.from);
+      if (bits !== undefined) for (const i of decodeDone(r, bits)) out.add(i);
+    }
+    return out;
+  };
+  return { values, mirror, show, save, known, world };
+};
+
+test('a slot from a time of larger values is taken apart, each step right by itself', async () => {
+  for (const [valueBytes, ops] of [
+    [2048, 4],
+    [1024, 2],
+    [512, 5],
+  ] as const) {
+    const s = scene(valueBytes, ops);
+    s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
+    const records: JobRecord[] = [];
+    const slot: Record<string, string> = {};
+    for (let n = 0; n < 60; n++) {
+      const record = job({ uid: `job-${n}`, tasks: 240 });
+      records.push(record);
+      s.values.set(`active/job-${n}`, { value: encodeActive(record), stamp: 2 });
+      slot[`job-${n}/0`] = encodeDone({ from: 0, to: 240 }, new Set([n, 239]));
+    }
+    assert.ok(JSON.stringify(slot).length > 4000);
+    s.values.set('done/0/0', { value: slot, stamp: 3 });
+    s.show();
+    const part = partWith(new Store().add(...records));
+    let steps = 0;
+    const large = () =>
+      [...s.values].some(
+        ([k, v]) => k.startsWith('done/') && JSON.stringify(v.value).length > valueBytes,
+      );
+    while (large()) {
+      await s.save(part);
+      steps += 1;
+      assert.ok(steps < 40);
+      for (let n = 0; n < 60; n++) {
+        assert.deepEqual(
+          [...s.known(`job-${n}`)].sort((a, b) => a - b),
+          [...new Set([n, 239])],
+        );
+      }
+    }
+    assert.ok(steps > 0 && s.world.most <= valueBytes);
+  }
+});
+
+test('a range whose bitmap fits no value any more is cut, and nothing that is done is lost', async () => {
+  const s = scene(1024, 4);
+  const record = job({ uid: 'job-1', tasks: 6000 });
+  const done = new Set(Array.from({ length: 1500 }, (_, i) => i * 4 + 1));
+  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
+  s.values.set('active/job-1', { value: encodeActive(record), stamp: 2 });
+  s.values.set('done/0/0', {
+    value: { 'job-1/0': encodeDone({ from: 0, to: 6000 }, done) },
+    stamp: 3,
+  });
+  s.show();
+  const store = new Store().add(record);
+  store.bits.set('job-1/0', encodeDone({ from: 0, to: 6000 }, done));
+  const part = partWith(store);
+  const ranges = () => s.mirror.tables['active/'].get('job-1')!.value.ranges;
+  for (let step = 0; step < 12; step++) {
+    await s.save(part);
+    assert.deepEqual(
+      [...s.known('job-1')].sort((a, b) => a - b),
+      [...done],
+      `after step ${step}`,
+    );
+  }
+  assert.ok(ranges().every((r) => r.to - r.from <= rangeMost(1024)));
+  assert.equal(
+    ranges().reduce((sum, r) => sum + r.to - r.from, 0),
+    6000,
+  );
+  // What ends now is saved in the new cut.
+  part.jobs.get('job-1')!.unsaved.add(0);
+  await s.save(part);
+  assert.ok(s.known('job-1').has(0));
+});
+
+test('the state client: sizes at the edge, 400s that are not repeated, a 429 that lowers the rate', async () => {
+  const state = new FakeState();
+  await state.start();
+  const errors: string[] = [];
+  const log = pino({ level: 'error' }, { write: (line: string) => errors.push(line) });
+  const rates = { rps: 1000, writeRps: 400, next: { rps: 1000, writeRps: 20 } };
+  const client = new StateClient(
+    state.address,
+    rates,
+    { valueBytes: 100, transactionOps: 2 },
+    () => performance.now(),
+    log,
+  );
+  const put = (key: string, bytes: number): Write => ({ put: key, value: 'x'.repeat(bytes - 2) });
+  try {
+    const edges: [string, Write[], number, boolean][] = [
+      ['a value of just the size', [put('a', 100)], 0, true],
+      ['one byte more', [put('a', 101)], 0, false],
+      ['as many changes as allowed', [put('a', 9), put('b', 9)], 8, true],
+      ['one change more', [put('a', 9), put('b', 9), put('c', 9)], 0, false],
+      ['one condition more', [put('a', 9)], 9, false],
+    ];
+    for (const [name, writes, conditions, fits] of edges) {
+      const when = Array.from({ length: conditions }, (_, i) => ({ key: `k${i}`, stamp: 0 }));
+      const sent = client.transact(CALL.rest, when, writes).then(
+        () => true,
+        (e: unknown) => {
+          assert.ok(e instanceof StateTrouble && e.kind === 'invalid', name);
+          return false;
+        },
+      );
+      assert.equal(await sent, fits, name);
+    }
+    assert.equal(state.refused.size, 0, 'what is too large is not even sent');
+    // Lower than announced: refused once, logged once, and not sent again.
+    state.limits = { ...state.limits, valueBytes: 50 };
+    const logged = errors.length;
+    for (let i = 0; i < 3; i++) {
+      await assert.rejects(client.transact(CALL.rest, [], [put('z', 80)]), { kind: 'invalid' });
+    }
+    assert.equal(state.refused.size, 1);
+    assert.equal(errors.length, logged + 1);
+    state.limits = { ...state.limits, writeRps: 20 };
+    let refused = 0;
+    const began = Date.now();
+    for (let i = 0; Date.now() - began < 4000; i++) {
+      await client.transact(CALL.rest, [], [put(`w${i}`, 9)]).catch(() => (refused += 1));
+    }
+    assert.ok(state.refused.rate >= 1, 'the fall was noticed');
+    assert.ok(state.refused.rate <= 12, `${state.refused.rate} refusals: the rate is not lowered`);
+  } finally {
+    client.close();
+    state.close();
+  }
+});
+
+test('limits fall while whole controllers work: nothing is refused for its size, all is done', async () => {
+  const stateLimits = {
+    rps: 600,
+    writeRps: 300,
+    valueBytes: 1024,
+    transactionOps: 3,
+    next: { rps: 600, writeRps: 60 },
+  };
+  const c = new Cluster({ runMs: 800, leaseS: 4, cancelS: 10, stateLimits });
+  const small = { Vcpus: 1, Cards: 0, MemGb: 1, GuessS: 20 };
+  try {
+    await c.open();
+    const uids = [];
+    for (let i = 0; i < 6; i++)
+      uids.push(await c.submit(c.names[i % 3]!, { ...small, Pieces: 60 }));
+    await c.until('some of it runs', 20, () => c.ground.started > 20);
+    c.state.limits = { valueBytes: 1024, transactionOps: 3, writeRps: 60 };
+    for (let i = 0; i < 3; i++)
+      uids.push(await c.submit(c.names[i % 3]!, { ...small, Pieces: 60 }));
+    for (const uid of uids) {
+      await c.until(`${uid} done`, 60, async () => (await c.statusOf('n0', uid)) === 'done');
+    }
+    assert.equal(c.state.refused.size, 0);
+    assert.deepEqual(c.ground.broken, []);
+  } finally {
+    c.close();
+  }
+});
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -142,7 +142,13 @@
       teams: new Map([['t', { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }]]),
       objectives: [],
       workers: { reportS: 0.5, leaseS: LEASE_S, gangWaitS: 10, gangPeerS: 2, cancelS: 8 },
-      stateLimits: { rps: 600, writeRps: 300, valueBytes: 8192, transactionOps: 8 },
+      stateLimits: {
+        rps: 600,
+        writeRps: 300,
+        valueBytes: 8192,
+        transactionOps: 8,
+        next: { rps: 600, writeRps: 300 },
+      },
       cloudLimits: { rps: 60, listLagS: 0.2 },
       sockets: 1000,
     });
--- /dev/null
+++ b/test/services.test.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
+import type { Part } from '../src/core/part.js';
+import { REPLICA_WELL_MS } from '../src/constants.js';
+import { job, LEASE_MS, machine, machineType, partWith, settings, Store } from './helpers.js';
+import { FakeWorker, Ground } from './standins/worker.js';
+
+/** Standing services: replicas that run until the job is cancelled, whatever becomes of machines. */
+const FOREVER = 1e12;
+const REPORT_MS = settings().reportMs;
+const SMALL = { cpus: 1, gpus: 0, memoryGb: 1 };
+const service = (over: Parameters<typeof job>[0] = {}) =>
+  job({ kind: 'service', estimateS: 0, demand: SMALL, priority: 'production', ...over });
+const UID = 'job-000001';
+
+const plan = (part: Part, now: number, over: Partial<CapacityInput> = {}) =>
+  planCapacity({
+    part,
+    parts: 1,
+    types: new Map([['m', machineType()]]),
+    zones: ['z', 'y'],
+    objectives: [],
+    stats: new Map(),
+    elsewhere: new Map(),
+    expected: [],
+    pending: [],
+    refused: () => false,
+    reserveSigma: 1,
+    drainS: 45,
+    idleKeepMs: 0,
+    machinesMost: 100,
+    now,
+    ...over,
+  });
+
+const scene = (names: readonly string[], over: Parameters<typeof job>[0] = {}, runMs = FOREVER) => {
+  const ground = new Ground();
+  const store = new Store().add(...names.map((n) => machine(n)));
+  const part = partWith(store);
+  const workers = new Map(
+    names.map((n) => [n, new FakeWorker(n, ground, runMs, LEASE_MS, -2 * REPORT_MS)] as const),
+  );
+  const beat = (now: number, who: readonly string[] = names) => {
+    part.age(now);
+    for (const n of who) {
+      const w = workers.get(n)!;
+      w.advance(now);
+      const r = w.report();
+      const result = part.beat(r, now, true);
+      if (result.kind === 'answer') w.answered(part.term, result.commands, now, r.session);
+    }
+    part.placeAll(now);
+  };
+  const run = (from: number, to: number, who: readonly string[] = names) => {
+    for (let now = from; now <= to; now += REPORT_MS / 3) beat(now, who);
+  };
+  // The service comes once all machines are known.
+  run(-2 * REPORT_MS, -1);
+  store.add(service(over));
+  part.sync(store, 0);
+  const on = (n: string) => [...ground.on].filter(([, m]) => m.has(n)).length;
+  return { ground, store, part, workers, beat, run, on };
+};
+
+test('replicas are not all put on one machine, as long as others have room', () => {
+  const cases: { tasks: number; names: string[]; most: number }[] = [
+    { tasks: 3, names: ['a', 'b', 'c'], most: 2 },
+    { tasks: 6, names: ['a', 'b'], most: 3 },
+    { tasks: 6, names: ['a'], most: 6 },
+    { tasks: 1, names: ['a', 'b'], most: 1 },
+  ];
+  for (const { tasks, names, most } of cases) {
+    const s = scene(names, { tasks });
+    s.run(0, 4 * REPORT_MS);
+    assert.equal(s.part.jobs.get(UID)?.placed.size, tasks);
+    for (const n of names) assert.ok(s.on(n) <= most, `${tasks} on ${names.length}: ${s.on(n)}`);
+    assert.deepEqual(s.ground.broken, []);
+  }
+});
+
+test('a replica that ends by itself runs again, is never done, and is not started at full speed', () => {
+  const s = scene(['a', 'b'], { tasks: 2 }, REPORT_MS);
+  s.run(0, 60 * REPORT_MS);
+  const state = s.part.jobs.get(UID)!;
+  assert.equal(state.saved.size + state.unsaved.size, 0);
+  assert.equal(state.over, false);
+  assert.ok(s.ground.started > 4, `${s.ground.started} starts`);
+  assert.ok(s.ground.started < 60, `${s.ground.started} starts: the pauses do not grow`);
+  assert.deepEqual(s.ground.broken, []);
+  // One that was well for a while starts again at once.
+  const now = 60 * REPORT_MS + 2 * REPLICA_WELL_MS;
+  assert.ok(now - state.failedAt > REPLICA_WELL_MS);
+});
+
+test('what somebody has saved as done of a service counts for nothing', () => {
+  const store = new Store().add(machine('a'), service({ tasks: 2 }));
+  store.bits.set(`${UID}/0`, 'c');
+  const part = partWith(store, 2);
+  assert.equal(part.jobs.get(UID)?.waiting.length, 2);
+});
+
+test('failing replicas: other machines, growing pauses, never given up', () => {
+  const s = scene(['a', 'b', 'c'], { tasks: 1 });
+  for (const w of s.workers.values()) w.faulty = true;
+  s.run(0, 40 * REPORT_MS);
+  const before = s.ground.started;
+  assert.ok(before >= 3 && before < 30, `${before} starts`);
+  for (const w of s.workers.values()) w.faulty = false;
+  s.part.machines.forEach((m) => (m.condemned = false));
+  s.run(41 * REPORT_MS, 41 * REPORT_MS + 90_000);
+  assert.equal(s.part.jobs.get(UID)?.placed.size, 1, 'it runs within 90 s once a machine is well');
+  assert.deepEqual(s.ground.broken, []);
+});
+
+test('a silent machine with replicas is returned sooner, and only then they run elsewhere', () => {
+  const s = scene(['a', 'b'], { tasks: 2 });
+  s.run(0, 3 * REPORT_MS);
+  const lost = s.on('a') > 0 ? 'a' : 'b';
+  const other = lost === 'a' ? 'b' : 'a';
+  const from = 3 * REPORT_MS;
+  s.run(from + 1, from + 2.5 * REPORT_MS, [other]);
+  const patient = { idleKeepMs: 1e9 };
+  assert.deepEqual(plan(s.part, from + 2.5 * REPORT_MS, patient).giveBack, []);
+  const now = from + 3.5 * REPORT_MS;
+  s.beat(now, [other]);
+  assert.equal(plan(s.part, now).giveBack[0]?.reason, 'silent');
+  assert.equal(s.on(lost), 1, 'still there as far as anybody knows');
+  s.workers.get(lost)!.vanish();
+  s.part.machineGone(lost, now);
+  s.run(now + 1, now + 3 * REPORT_MS, [other]);
+  assert.equal(s.on(other), 2);
+  assert.deepEqual(s.ground.broken, []);
+});
+
+test('a machine about to go loses its replicas at once, and they run elsewhere', () => {
+  const s = scene(['a', 'b'], { tasks: 2 });
+  s.run(0, 3 * REPORT_MS);
+  s.workers.get('a')!.noticeS = 8;
+  s.run(3 * REPORT_MS + 1, 5 * REPORT_MS);
+  assert.deepEqual([s.on('a'), s.on('b')], [0, 2]);
+  assert.deepEqual(s.ground.broken, []);
+});
+
+test('a machine with a replica does not count as idle; a condemned one is emptied first', () => {
+  const s = scene(['a', 'b'], { tasks: 1 });
+  s.run(0, 3 * REPORT_MS);
+  const busy = s.on('a') > 0 ? 'a' : 'b';
+  const now = 50 * REPORT_MS;
+  s.run(3 * REPORT_MS + 1, now);
+  assert.ok(!plan(s.part, now).giveBack.some((g) => g.name === busy));
+  s.part.machines.get(busy)!.condemned = true;
+  assert.ok(!plan(s.part, now).giveBack.some((g) => g.name === busy), 'its replica moves first');
+  s.run(now + 1, now + 3 * REPORT_MS);
+  assert.equal(s.on(busy), 0);
+  assert.equal(s.on(busy === 'a' ? 'b' : 'a'), 1);
+  assert.ok(plan(s.part, now + 3 * REPORT_MS).giveBack.some((g) => g.name === busy));
+});
+
+test('a new owner takes running replicas into its books and stops none', () => {
+  const s = scene(['a', 'b'], { tasks: 3 });
+  s.run(0, 3 * REPORT_MS);
+  const { started } = s.ground;
+  const part = partWith(s.store, 2, {}, 4 * REPORT_MS);
+  for (let now = 4 * REPORT_MS; now < 8 * REPORT_MS; now += REPORT_MS / 2) {
+    part.placeAll(now);
+    for (const w of s.workers.values()) {
+      w.advance(now);
+      const r = w.report();
+      const result = part.beat(r, now, true);
+      if (result.kind === 'answer') w.answered(part.term, result.commands, now, r.session);
+    }
+  }
+  assert.equal(part.jobs.get(UID)?.placed.size, 3);
+  assert.equal(s.ground.started, started);
+  assert.deepEqual(s.ground.broken, []);
+});
+
+test('cancelled replicas are stopped, and nothing starts again', () => {
+  const s = scene(['a', 'b'], { tasks: 4 });
+  s.run(0, 3 * REPORT_MS);
+  s.store.jobs.delete(UID);
+  s.part.sync(s.store, 3 * REPORT_MS);
+  s.ground.cancelledAt.set(UID, 3 * REPORT_MS);
+  s.run(3 * REPORT_MS + 1, 8 * REPORT_MS);
+  assert.equal(s.on('a') + s.on('b'), 0);
+  assert.equal(s.ground.startedCancelled, 0);
+  assert.equal(s.part.jobs.has(UID), false);
+});
+
+test('a service finds room by stopping lower work, never by stopping its equals', () => {
+  for (const [priority, room] of [
+    ['low', true],
+    ['production', false],
+  ] as const) {
+    const whole = { cpus: 8, gpus: 2, memoryGb: 8 };
+    const other = job({ uid: 'job-000002', priority, demand: whole });
+    const ground = new Ground();
+    const store = new Store().add(machine('a'), other);
+    const part = partWith(store);
+    const a = new FakeWorker('a', ground, FOREVER, LEASE_MS, 0);
+    for (let now = 0; now < 8 * REPORT_MS; now += REPORT_MS / 2) {
+      if (now === 2 * REPORT_MS) {
+        store.add(service());
+        part.sync(store, now);
+      }
+      part.placeAll(now);
+      a.advance(now);
+      const r = a.report();
+      const result = part.beat(r, now, true);
+      if (result.kind === 'answer') a.answered(part.term, result.commands, now, r.session);
+    }
+    assert.equal(ground.on.get(`${UID}/0`)?.size ?? 0, room ? 1 : 0, priority);
+  }
+});
+
+test('capacity: replicas that run keep their room, whatever their run time', () => {
+  const store = new Store().add(service({ tasks: 20, spot: false }));
+  const stats = new Map([['c', { tasksPerS: 0, runS: null, sample: null }]]);
+  const { rent } = plan(partWith(store), 0, { stats });
+  const machines = rent.reduce((sum, w) => sum + w.count, 0);
+  assert.equal(machines, 3, '20 replicas, eight to a machine');
+  assert.ok(rent.every((w) => !w.spot));
+});
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -29,6 +29,7 @@
   readonly cancelS: number;
   readonly teams?: readonly Team[];
   readonly zones?: readonly string[];
+  readonly stateLimits?: PlatformConfig['stateLimits'];
 }
 
 export const TEAM: Team = { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
@@ -62,7 +63,7 @@
       await door.start();
       this.doors.set(n, door);
     }
-    const { runMs, leaseS, cancelS, teams = [], zones = ['z'] } = this.options;
+    const { runMs, leaseS, cancelS, teams = [], zones = ['z'], stateLimits } = this.options;
     for (const t of teams) if (t.cpusMax > 0) this.ground.limits.set(t.name, t.cpusMax);
     this.cloud = new FakeCloud(this.ground, [...listen], runMs, leaseS * 1000, zones);
     await this.cloud.start();
@@ -87,7 +88,13 @@
         teams: new Map([TEAM, ...teams].map((t) => [t.name, t])),
         objectives: [],
         workers: { reportS: 0.5, leaseS, gangWaitS: 10, gangPeerS: 2, cancelS },
-        stateLimits: { rps: 600, writeRps: 300, valueBytes: 8192, transactionOps: 8 },
+        stateLimits: stateLimits ?? {
+          rps: 600,
+          writeRps: 300,
+          valueBytes: 8192,
+          transactionOps: 8,
+          next: { rps: 600, writeRps: 300 },
+        },
         cloudLimits: { rps: 60, listLagS: 0.2 },
         sockets: 1000,
       });
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { Readable } from 'node:stream';
+import { test } from 'node:test';
+import protobuf from 'protobufjs';
+import * as z from 'zod';
+import type { JobRecord } from '../src/core/model.js';
+import { StatusDecoder, StatusEncoder, type PeerStatus } from '../src/peers/frames.js';
+import {
+  decodeActive,
+  decodeFinal,
+  decoders,
+  encodeActive,
+  encodeDoneSlot,
+  encodeGroup,
+  prefixOf,
+} from '../src/state/keys.js';
+import { Mirror } from '../src/state/mirror.js';
+import { partWith, Store } from './helpers.js';
+import { FakeWorker, Ground } from './standins/worker.js';
+
+/**
+ * Two versions side by side. The fixtures were written by the version in production, whose commit they
+ * name (`production` in deploy/service.toml); the contract below is a copy of what that version reads.
+ */
+const fixture = (name: string) =>
+  readFileSync(new URL(`../../../test/fixtures/${name}`, import.meta.url), 'utf8');
+const OLD = JSON.parse(fixture('production.json')) as {
+  commit: string;
+  values: Record<string, unknown>;
+  frame: string;
+  status: PeerStatus;
+};
+
+const int = z.number().int().nonnegative();
+const resources = z.strictObject({ cpus: z.number(), gpus: z.number(), memoryGb: z.number() });
+const CONTRACT: Record<string, z.ZodType> = {
+  'active/': z.strictObject({
+    spec: z.strictObject({
+      jobClass: z.string(),
+      team: z.string(),
+      kind: z.enum(['array', 'gang', 'service']),
+      priority: z.enum(['production', 'high', 'normal', 'low']),
+      tasks: int,
+      demand: resources,
+      image: z.string(),
+      imageGb: z.number(),
+      types: z.array(z.string()).nullable(),
+      zone: z.string().nullable(),
+      oneZone: z.boolean(),
+      spread: z.boolean(),
+      spot: z.boolean(),
+      estimateS: z.number(),
+      checkpointS: z.number(),
+      saveS: z.number(),
+      deadlineS: z.number().nullable(),
+    }),
+    at: z.number(),
+    ranges: z.array(z.tuple([int, int, int, int])),
+  }),
+  'done/': z.record(z.string(), z.string().regex(/^[0-9a-f]*$/)),
+  'machines/': z.strictObject({
+    part: int,
+    era: int,
+    type: z.string(),
+    zone: z.string(),
+    spot: z.boolean(),
+    hosts: z.record(z.string(), int),
+  }),
+  'parts/': z.strictObject({ owner: z.string(), incarnation: z.string(), term: int }),
+  'nodes/': z.strictObject({ incarnation: z.string() }),
+  'hires/': z.strictObject({ type: z.string(), zone: z.string(), spot: z.boolean(), count: int }),
+  term: int,
+};
+
+test('the fixtures are those of the version that the deploy file names', () => {
+  const deploy = readFileSync(new URL('../../../deploy/service.toml', import.meta.url), 'utf8');
+  assert.equal(/^production = "([0-9a-f]{40})"$/m.exec(deploy)?.[1], OLD.commit);
+});
+
+test('every value of the old version is read, and written again just as it was', () => {
+  let seen = 0;
+  for (const [key, value] of Object.entries(OLD.values)) {
+    if (key.startsWith('final/')) {
+      assert.deepEqual(decodeFinal(value), value, key);
+      continue;
+    }
+    const prefix = prefixOf(key);
+    assert.ok(prefix !== null, key);
+    const id = key.slice(prefix.length);
+    const known = decoders[prefix](id, value);
+    seen += 1;
+    if (prefix === 'active/') assert.deepEqual(encodeActive(decodeActive(id, value)), value, key);
+    if (prefix === 'machines/') assert.deepEqual(encodeGroup(known as never), value, key);
+    if (prefix === 'done/') assert.deepEqual(encodeDoneSlot(known as never), value, key);
+    CONTRACT[prefix]!.parse(value);
+  }
+  assert.ok(seen >= 9);
+});
+
+test('what the new version writes of jobs keeps to what the old one reads: table', () => {
+  const base = decodeActive('job-000001', OLD.values['active/job-000001']);
+  const cases: [string, JobRecord][] = [
+    ['a service', { ...base, spec: { ...base.spec, kind: 'service', estimateS: 0 } }],
+    ['many ranges', { ...base, ranges: base.ranges.flatMap((r) => [r, { ...r, part: 1 }]) }],
+    ['nothing optional', { ...base, spec: { ...base.spec, types: null, deadlineS: null } }],
+  ];
+  for (const [name, record] of cases) {
+    const result = CONTRACT['active/']!.safeParse(JSON.parse(JSON.stringify(encodeActive(record))));
+    assert.ok(result.success, name);
+  }
+});
+
+test('messages between nodes: the old one is read whole, the new one by the old definition', async () => {
+  const got: unknown[] = [];
+  const bytes = Buffer.from(OLD.frame, 'hex');
+  for await (const s of Readable.from([bytes]).pipe(new StatusDecoder())) got.push(s);
+  assert.deepEqual(got, [OLD.status]);
+  const frames: Buffer[] = [];
+  for await (const b of Readable.from([OLD.status]).pipe(new StatusEncoder())) {
+    frames.push(b as Buffer);
+  }
+  const Old = protobuf.parse(fixture('production.proto')).root.lookupType('sumacstep.Status');
+  const message = Old.decodeDelimited(Buffer.concat(frames));
+  const options = { arrays: true, defaults: true, longs: Number };
+  assert.deepEqual(Old.toObject(message, options), OLD.status);
+});
+
+test('an owner of either version goes on with what the other recorded', () => {
+  const mirror = new Mirror();
+  const changes = Object.entries(OLD.values).map(([key, value], i) => ({
+    key,
+    value,
+    stamp: i + 1,
+    removed: false,
+  }));
+  mirror.apply({ fresh: true, epoch: 50, whole: 50, changes });
+  const store = new Store();
+  for (const { value } of mirror.tables['active/'].values()) store.add(value);
+  for (const { value } of mirror.machines.values()) store.add({ ...value, part: 0 });
+  const bits = mirror.done(0, 'job-000001', 0);
+  assert.ok(bits !== undefined);
+  store.bits.set('job-000001/0', bits);
+  // The part was the old version's; what it may have started waits for its machines' answers.
+  const part = partWith(store, 12);
+  const job = part.jobs.get('job-000001')!;
+  assert.equal(job.saved.size, 7);
+  assert.equal(job.waiting.length, 9);
+  assert.equal(part.rebuilt, false);
+  part.placeAll(0);
+  assert.equal(job.placed.size, 0);
+  const ground = new Ground();
+  const w = new FakeWorker('vm-000001', ground, 1000, 18_000, 0);
+  w.answered(5, [{ op: 'start', uid: 'job-000001', index: 6, attempt: 5 * 2 ** 23 }], 0, 1);
+  for (let now = 0; now < 2000; now += 500) {
+    const r = w.report();
+    const result = part.beat(r, now, true);
+    if (result.kind === 'answer') w.answered(part.term, result.commands, now, 1);
+  }
+  assert.equal(part.rebuilt, true);
+  assert.equal(job.placed.get(6)?.attempt, 5 * 2 ** 23, "the old owner's task goes on");
+  assert.deepEqual(ground.broken, []);
+});
