--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -1,18 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { encodeDone } from '../src/core/jobs.js';
+import { renewableMs } from '../src/core/cancellations.js';
+import { decodeDone, encodeDone } from '../src/core/jobs.js';
 import type { Command, Report } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
 import { randomFrom } from '../src/random.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { CANCEL_MS, FakeWorker, Ground } from './standins/worker.js';
 
 /**
  * Owners come and go, some within a fraction of a second; answers get lost, direct commands arrive
  * late, copies of reports come late by up to several leases, at whoever owns the part then; machines
- * hang, fall silent, hear nothing of what they are told, and are returned; former owners that lost
- * sight of everybody go on answering; jobs arrive and are cancelled. After each step no task may be on
- * two machines and no cancelled job may still run.
+ * hang, fall silent, hear nothing of what they are told, or reach nobody while commands reach them, and
+ * are returned; former owners that lost sight of everybody go on answering, for as long as an unknown
+ * cancellation allows; saves get no answer and count later; jobs and services arrive, are cancelled, also
+ * while their machines hang and at the moment of their end. After each step no task may be on two machines
+ * and no cancelled job may still run, and what was not cancelled is still known.
  */
 interface Late {
   at: number;
@@ -45,21 +48,53 @@
   const silentUntil = new Map<string, number>();
   /** machines whose reports arrive while nothing reaches them */
   const deafUntil = new Map<string, number>();
+  /** machines that reach no owner, while commands reach them */
+  const muteUntil = new Map<string, number>();
+  /** saves without an answer, carried out later */
+  const lateSaves: { at: number; save: () => void }[] = [];
+  /** since when the former owner knows nothing new */
+  let formerSince = 0;
+  let cancelledAtEnd = 0;
+  let servicesStarted = 0;
   const late: Late[] = [];
+  const hungUntil = new Map<string, number>();
   const copies: Copy[] = [];
   let copied = 0;
   let deafened = 0;
   let machines = 0;
   let jobs = 0;
 
-  const finalise = (): void => {
+  const finalise = (now: number): void => {
     for (const j of [...part.jobs.values()]) {
-      const { uid, tasks } = j.spec;
-      part.saved(uid, [...j.unsaved]);
+      const { uid, tasks, kind } = j.spec;
+      if (kind === 'service') {
+        if (j.saved.size + j.unsaved.size > 0) ground.broken.push(`service done ${uid}`);
+        continue;
+      }
+      const saving = [...j.unsaved];
+      if (saving.length > 0 && chance(10)) {
+        // No answer: the owner goes on as if nothing was saved, and the write is carried out later.
+        const bits = new Set([...j.saved, ...saving]);
+        const save = () => {
+          const range = { from: 0, to: tasks };
+          const before = decodeDone(range, store.bits.get(`${uid}/0`) ?? '');
+          store.bits.set(`${uid}/0`, encodeDone(range, new Set([...before, ...bits])));
+        };
+        lateSaves.push({ at: now + 2000 + random(10_000), save });
+        continue;
+      }
+      part.saved(uid, saving);
       if (j.saved.size > 0) {
         store.bits.set(`${uid}/0`, encodeDone({ from: 0, to: tasks }, j.saved));
       }
       if (j.saved.size === tasks && !j.over) {
+        if (chance(10)) {
+          // Called off in the moment of its end: the cancellation comes first.
+          cancelledAtEnd += 1;
+          store.jobs.delete(uid);
+          ground.cancelledAt.set(uid, now);
+          continue;
+        }
         const done = ground.completed.get(uid)?.size ?? 0;
         // The tasks of a gang complete together: one that is done speaks for all.
         const needed = j.spec.kind === 'gang' ? 1 : tasks;
@@ -82,19 +117,29 @@
       jobs += 1;
       const gang = chance(30);
       const tasks = 1 + random(4);
-      store.add(job({ uid: `job-${jobs}`, tasks, kind: gang ? 'gang' : 'array' }, term));
+      const kind = gang ? 'gang' : chance(15) ? 'service' : 'array';
+      if (kind === 'service') servicesStarted += 1;
+      store.add(job({ uid: `job-${jobs}`, tasks, kind }, term));
     }
     if (chance(1)) {
       const uid = [...store.jobs.keys()][random(store.jobs.size)];
       if (uid !== undefined) {
         store.jobs.delete(uid);
         ground.cancelledAt.set(uid, now);
+        // Users call it off, and its machines hang in that moment.
+        if (chance(40)) {
+          for (const [task, on] of ground.on) {
+            if (!task.startsWith(`${uid}/`)) continue;
+            for (const name of on) hungUntil.set(name, now + random(30_000));
+          }
+        }
       }
     }
     if (chance(0.7)) {
       // Now and then the next owner ends again before it has done anything.
       for (let lives = chance(20) ? 2 : 1; lives > 0; lives--) {
         former = part;
+        formerSince = now;
         term += 1;
         part = partWith(store, term, {}, now);
       }
@@ -139,19 +184,27 @@
     for (const [name, w] of [...workers]) {
       w.advance(now);
       if (chance(0.3)) w.hung = !w.hung;
+      const until = hungUntil.get(name);
+      if (until !== undefined) {
+        w.hung = until > now;
+        if (!w.hung) hungUntil.delete(name);
+      }
+      if (chance(0.2)) muteUntil.set(name, now + random(40_000));
       if (chance(0.3)) silentUntil.set(name, now + random(30_000));
       if (chance(0.3)) {
         deafUntil.set(name, now + random(40_000));
         deafened += 1;
       }
       if (w.hung || (silentUntil.get(name) ?? 0) > now) continue;
+      if ((muteUntil.get(name) ?? 0) > now) continue;
       if (random(6) > 0) continue;
       const r = w.report();
       for (let more = chance(15) ? 1 + random(2) : 0; more > 0; more--) {
         copies.push({ at: now + random(COPY_MS), report: r });
       }
       const owner = former !== null && chance(20) ? former : part;
-      const result = owner.beat(r, now, owner === part);
+      const renewable = now - formerSince <= renewableMs(CANCEL_MS, LEASE_MS);
+      const result = owner.beat(r, now, owner === part, owner === part || renewable);
       if (result.kind !== 'answer') continue;
       // Some answers get lost on the way back, and all of those to a deaf machine.
       if ((deafUntil.get(name) ?? 0) > now) continue;
@@ -166,11 +219,19 @@
       part.machineGone(m.record.name, now);
       store.machines.delete(m.record.name);
     }
-    finalise();
+    finalise(now);
+    for (const l of lateSaves.filter((x) => x.at <= now)) {
+      lateSaves.splice(lateSaves.indexOf(l), 1);
+      l.save();
+    }
     ground.check(now);
     if (ground.broken.length > 0) break;
   }
-  return { ground, copied, deafened };
+  // Nothing that was accepted and not called off is forgotten.
+  for (const uid of store.jobs.keys()) {
+    if (!part.jobs.has(uid)) ground.broken.push(`forgotten ${uid}`);
+  }
+  return { ground, copied, deafened, cancelledAtEnd, servicesStarted };
 };
 
 test('random failures break no rule, with fixed seeds', () => {
@@ -178,15 +239,20 @@
   let completed = 0;
   let copied = 0;
   let deafened = 0;
+  let cancelledAtEnd = 0;
+  let servicesStarted = 0;
   for (let seed = 1; seed <= 60; seed++) {
     const { ground, ...seen } = play(seed);
     assert.deepEqual(ground.broken, [], `seed ${seed}`);
     copied += seen.copied;
     deafened += seen.deafened;
+    cancelledAtEnd += seen.cancelledAtEnd;
+    servicesStarted += seen.servicesStarted;
     started += ground.started;
     for (const done of ground.completed.values()) completed += done.size;
   }
   assert.ok(started > 2000, `only ${started} starts: the day tests nothing`);
   assert.ok(completed > 1000, `only ${completed} completions`);
+  assert.ok(cancelledAtEnd > 20 && servicesStarted > 100, `${cancelledAtEnd} ${servicesStarted}`);
   assert.ok(copied > 1000 && deafened > 100, `${copied} copies, ${deafened} deaf machines`);
 });
