--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -518,13 +518,17 @@
   /** Silent for so long that the machine is better given back than waited for. */
   isLost(m: MachineState, now: number): boolean {
     const expected = m.everKnown || this.inherited(m);
-    // An answered return proves a replica gone sooner than the end of its lease does.
-    return expected && this.#unreported(m, now, serves(m) ? LOST_REPORTS_SERVING : LOST_REPORTS);
+    if (!expected) return false;
+    // An answered return proves a replica gone sooner than the end of its lease does. A worker that is
+    // still looking for a living controller answers commands meanwhile.
+    const silentMs = now - Math.max(m.lastBeatAt, m.reportedAt, m.since);
+    const gone = serves(m) && silentMs > this.settings.reportMs * LOST_REPORTS_SERVING;
+    return gone || this.#unreported(m, now);
   }
 
   /** A machine that only answers commands reaches no controller: its lease ends with all that it runs. */
-  #unreported(m: MachineState, now: number, reports = LOST_REPORTS): boolean {
-    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * reports;
+  #unreported(m: MachineState, now: number): boolean {
+    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * LOST_REPORTS;
   }
 
   /**
--- a/src/core/rooms.ts
+++ b/src/core/rooms.ts
@@ -111,11 +111,15 @@
       if (zone !== null && m.record.zone !== zone) continue;
       if (!fits(demand, m.free) || !allowedOn(m, job, this.now)) continue;
       if (partner !== null && !allowedOn(m, partner, this.now)) continue;
-      const replicas = kind === 'service' ? replicasOn(m, job) : 0;
+      const held = m.images.has(image);
+      const service = kind === 'service';
+      // Most machines are out of it by this alone, and there are hundreds of them.
+      if (!service && best?.held === true && !held) continue;
+      const replicas = service ? replicasOn(m, job) : 0;
       const choice: Choice = {
         m,
-        crowded: replicas >= Math.ceil(tasks / 2),
-        held: m.images.has(image),
+        crowded: service && replicas >= Math.ceil(tasks / 2),
+        held,
         replicas,
         volume: unusedVolume(m.free, this.books.largest),
       };
