--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -46,6 +46,7 @@
   readonly #configs = new Map<string, PlatformConfig>();
   /** ways between nodes, by `from to` */
   readonly #links = new Map<string, Link>();
+  readonly #stateLinks = new Map<string, Link>();
   #count = 0;
 
   constructor(readonly options: ClusterOptions) {
@@ -68,6 +69,9 @@
     this.cloud = new FakeCloud(this.ground, [...listen], runMs, leaseS * 1000, zones);
     await this.cloud.start();
     for (const node of this.names) {
+      const toState = new Link();
+      await toState.open(this.doors.get(node)!.address);
+      this.#stateLinks.set(node, toState);
       const peers = [];
       for (const other of this.names.filter((n) => n !== node)) {
         const link = new Link();
@@ -82,7 +86,7 @@
         peerListen: peerListen.get(node)!,
         peers,
         cloud: this.cloud.address,
-        state: this.doors.get(node)!.address,
+        state: toState.address,
         nodes: this.names.length,
         zones,
         teams: new Map([TEAM, ...teams].map((t) => [t.name, t])),
@@ -116,6 +120,11 @@
     this.#services.delete(node);
   }
 
+  /** Cuts a node from the state service, or lets it back; unlike a refusal it gets no answer. */
+  cutState(node: string, cut: boolean): void {
+    this.#stateLinks.get(node)!.cut = cut;
+  }
+
   /** Cuts a node from all other nodes, or lets it back. */
   cutPeers(node: string, cut: boolean): void {
     for (const [way, link] of this.#links) if (way.split(' ').includes(node)) link.cut = cut;
@@ -231,7 +240,7 @@
   close(): void {
     for (const n of this.names) this.kill(n);
     for (const c of this.#clients.values()) c.close();
-    for (const l of this.#links.values()) l.close();
+    for (const l of [...this.#links.values(), ...this.#stateLinks.values()]) l.close();
     for (const d of this.doors.values()) d.close();
     this.cloud.close();
     this.state.close();
