--- a/src/core/books.ts
+++ b/src/core/books.ts
@@ -121,6 +121,8 @@
   condemned: boolean;
   /** to be returned: no starts, and what runs is stopped */
   leaving: boolean;
+  /** its record is gone or another part's, although we have not returned it */
+  unrecorded: boolean;
   returning: boolean;
   fullUntil: number;
   /** kept for a job; partial: its gang has not enough machines in sight yet */
@@ -241,7 +243,12 @@
     }
     for (const m of [...this.machines.values()]) {
       const record = view.machines.get(m.record.name)?.value;
-      if (record === undefined || record.part !== this.index) this.machineGone(m.record.name, now);
+      if (record !== undefined && record.part === this.index) continue;
+      // A record that goes without a return of ours says nothing of the machine: what runs there is
+      // gone only when the lease that we renewed last has run out.
+      m.leaving = true;
+      m.unrecorded = true;
+      if (m.tasks.size === 0) this.machineGone(m.record.name, now);
     }
   }
 
@@ -275,6 +282,7 @@
       failedJobs: new Set(),
       condemned: false,
       leaving: false,
+      unrecorded: false,
       returning: false,
       fullUntil: -Infinity,
       hold: null,
@@ -512,6 +520,7 @@
         if (neverSent(p) && now - p.orderedAt > ORDER_UNSENT_MS) this.release(p, now);
       }
       if (m.hold !== null && now > m.hold.until) m.hold = null;
+      if (m.unrecorded && m.tasks.size === 0) this.machineGone(m.record.name, now);
     }
   }
 
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -225,7 +225,7 @@
   const giveBack: { name: string; reason: string }[] = [];
   const staying: MachineState[] = [];
   for (const m of part.machines.values()) {
-    if (m.returning) continue;
+    if (m.returning || m.unrecorded) continue;
     const bootMs = (m.type?.bootS ?? 60) * 1000;
     const neverUp = !m.everKnown && !m.record.up;
     if (part.isLost(m, now)) giveBack.push({ name: m.record.name, reason: 'silent' });
--- a/src/keeper.ts
+++ b/src/keeper.ts
@@ -88,7 +88,7 @@
     private readonly log: Logger,
   ) {
     this.#directMost = shareSockets(config.sockets, config.peers.length).direct;
-    this.machines = new MachineRecords(config, client, mirror, now, log);
+    this.machines = new MachineRecords(config, client, mirror, current, now, log);
     this.#completions = new Completions(config, client, mirror, now, log);
     this.#passing = new Passing(
       config,
--- a/src/machines.ts
+++ b/src/machines.ts
@@ -25,6 +25,8 @@
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact'>,
     private readonly mirror: Mirror,
+    /** resolves once the mirror shows everything that was committed before the call */
+    private readonly current: () => Promise<void>,
     private readonly now: () => number,
     private readonly log: Logger,
   ) {}
@@ -137,12 +139,26 @@
     if (result.ok) this.mirror.applyOwn(writes, result.epoch);
   }
 
+  #hirePending({ type, zone, spot }: { type: string; zone: string; spot: boolean }): boolean {
+    for (const { value: h } of this.mirror.tables['hires/'].values()) {
+      if (h.type === type && h.zone === zone && h.spot === spot) return true;
+    }
+    return false;
+  }
+
   #hireStamp(part: number, name: string): number {
     return this.mirror.tables['hires/'].get(`${part}/${name}`)?.stamp ?? 0;
   }
 
-  /** Takes a machine that is in no record into a group of its own. */
+  /**
+   * Takes a machine that is in no record into a group of its own. A hire that is not settled may be about
+   * to record it for another part, and with two records two owners would have it
+   * (docs/incidents/2026-12-02-two-records.md). Every hire is recorded before its call, so once a current
+   * mirror shows neither a hire of the machine's kind nor the machine, none can record it any more.
+   */
   async adopt(owned: Owned, machine: Omit<MachineGroup, 'era' | 'hosts'>, name: string) {
+    await this.current();
+    if (this.mirror.machines.has(name) || this.#hirePending(machine)) return;
     const hosts = new Map([[name, false]]);
     const group: MachineGroup = { ...machine, era: owned.part.term, hosts };
     const id = `found-${name}`;
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -70,7 +70,14 @@
     part.inspected(w.report(), 1);
   }
   let now = 1000;
-  const records = new MachineRecords(CONFIG, client, mirror, () => now, LOG);
+  const records = new MachineRecords(
+    CONFIG,
+    client,
+    mirror,
+    () => Promise.resolve(),
+    () => now,
+    LOG,
+  );
   await records.tick(0, own(part), now);
   assert.deepEqual(
     written.map((w) => w.length),
@@ -221,3 +228,31 @@
   await save(-1);
   assert.deepEqual([...state.unsaved], [], 'saved once the mirror shows the late one');
 });
+
+test('a machine that nobody recorded is adopted only when no hire can still record it', async () => {
+  const hire = { type: 'm', zone: 'z', spot: true, count: 1 };
+  const group = { part: 1, era: 1, type: 'm', zone: 'z', spot: true };
+  const cases: [string, [string, unknown][], boolean][] = [
+    ['nothing else', [], true],
+    ['a hire of its kind is open', [['hires/1/n-1', hire]], false],
+    ['a hire of another kind is open', [['hires/1/n-1', { ...hire, zone: 'y' }]], true],
+    [
+      'the hire has recorded it just now',
+      [['machines/n-1', encodeGroup({ ...group, hosts: new Map([['x', false]]) })]],
+      false,
+    ],
+  ];
+  for (const [name, found, adopted] of cases) {
+    const { mirror, written, client, show } = scene();
+    show([]);
+    // What the mirror shows before the read is old.
+    const current = () => {
+      show(found);
+      return Promise.resolve();
+    };
+    const records = new MachineRecords(CONFIG, client, mirror, current, () => 0, LOG);
+    const { type, zone, spot } = group;
+    await records.adopt(own(partWith(new Store())), { part: 0, type, zone, spot }, 'x');
+    assert.equal(written.length, adopted ? 1 : 0, name);
+  }
+});
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -322,3 +322,26 @@
   assert.ok(returns(part, now).includes('a'));
   assert.equal(part.isFresh(part.machines.get('a')!, now), false);
 });
+
+test('a record that goes without a return: what runs there is not started elsewhere before its lease ends', () => {
+  for (const moved of [true, false]) {
+    const ground = new Ground();
+    const store = new Store().add(machine('a'), machine('b'), job());
+    const part = partWith(store);
+    const a = new FakeWorker('a', ground, 10 * LEASE_MS, LEASE_MS, 0);
+    const b = new FakeWorker('b', ground, 10 * LEASE_MS, LEASE_MS, 0);
+    for (let now = 0; now < 2 * REPORT_MS; now += REPORT_MS / 2) beat(part, a, now);
+    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+    if (moved) store.add(machine('a', { part: 1 }));
+    else store.machines.delete('a');
+    const from = 2 * REPORT_MS;
+    part.sync(store, from);
+    for (let now = from; now < from + 2 * LEASE_MS; now += REPORT_MS / 2) {
+      a.advance(now);
+      beat(part, b, now);
+      assert.deepEqual(ground.broken, []);
+    }
+    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['b'], 'in the end it runs again');
+    assert.equal(part.machines.has('a'), false);
+  }
+});
