--- a/src/completions.ts
+++ b/src/completions.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
 import type { PlatformConfig } from './config/platform.js';
-import { BATCH_BYTES, PROGRESS_MS, SAVE_MS, SLOT_FILL } from './constants.js';
+import { BATCH_BYTES, PROGRESS_MS, RANGE_MOST, SAVE_MS, SLOT_FILL } from './constants.js';
 import type { JobState } from './core/books.js';
 import { allDone, encodeDone, rangeMost } from './core/jobs.js';
 import type { JobRecord, TaskRange } from './core/model.js';
@@ -28,6 +28,8 @@
  * about one write in a while, however many arrays it runs.
  */
 export class Completions {
+  readonly #slotSizes = new WeakMap<DoneSlot, number>();
+
   constructor(
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact'>,
@@ -144,6 +146,7 @@
   #recut(index: number, owned: Owned): Batch | null {
     const { valueBytes } = this.config.stateLimits;
     const most = rangeMost(valueBytes);
+    if (most >= RANGE_MOST) return null;
     for (const { spec, over } of owned.part.jobs.values()) {
       const active = over ? undefined : this.mirror.tables['active/'].get(spec.uid);
       const long = active?.value.ranges.find((r) => r.part === index && r.to - r.from > most);
@@ -182,6 +185,7 @@
    * other slots first, if that takes more than one transaction, and leaves it with the last of them.
    */
   #split(index: number): Batch | null {
+    if (!this.#anyTooLarge(index)) return null;
     const { valueBytes, transactionOps } = this.config.stateLimits;
     const slots = this.#slots(index);
     for (const [n, slot] of slots) {
@@ -213,6 +217,18 @@
     return null;
   }
 
+  /** Looked at several times a second, so the size of a value is taken once. */
+  #anyTooLarge(index: number): boolean {
+    const { valueBytes } = this.config.stateLimits;
+    for (const [id, { value }] of this.mirror.tables['done/']) {
+      if (!id.startsWith(`${index}/`)) continue;
+      const size = this.#slotSizes.get(value) ?? sizeOf(value);
+      this.#slotSizes.set(value, size);
+      if (size > valueBytes) return true;
+    }
+    return false;
+  }
+
   #putSlot(batch: Batch, index: number, slot: number, value: DoneSlot): void {
     batch.writes.push({ put: key.done(index, slot), value: encodeDoneSlot(value) });
     // A write without an answer may be carried out after newer ones, and would undo what those saved.
