--- a/test/design.test.ts
+++ b/test/design.test.ts
@@ -83,6 +83,8 @@
     ['type not allowed', { demand: r(20, 0, 1), types: ['m'] }, 'no_machine_type'],
     ['an array counts one task', { team: 'limited', tasks: 9 }, 'accept'],
     ['a gang counts all', { team: 'limited', tasks: 3, kind: 'gang' }, 'over_team_limit'],
+    ['a service counts all', { team: 'limited', tasks: 3, kind: 'service' }, 'over_team_limit'],
+    ['a service within the limit', { team: 'limited', tasks: 2, kind: 'service' }, 'accept'],
     ['a gang within the limit', { team: 'limited', tasks: 2, kind: 'gang' }, 'accept'],
   ];
   for (const [name, over, want] of cases) {
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -172,6 +172,29 @@
   }
 });
 
+test('a range that stands in two slots is done where either says so, whichever is met first', () => {
+  for (const [a, b, either] of [
+    ['c0', '90', 'd0'],
+    ['f', '0f', 'ff'],
+    ['01', '8', '81'],
+  ]) {
+    for (const slots of [
+      [a, b],
+      [b, a],
+    ]) {
+      const mirror = new Mirror();
+      const changes = slots.map((bits, n) => ({
+        key: `done/0/${n}`,
+        value: { 'job-1/0': bits },
+        stamp: n + 1,
+        removed: false,
+      }));
+      mirror.apply({ fresh: true, epoch: 9, whole: 9, changes });
+      assert.equal(mirror.done(0, 'job-1', 0), either);
+    }
+  }
+});
+
 test('a range whose bitmap fits no value any more is cut, and nothing that is done is lost', async () => {
   const s = scene(1024, 4);
   const record = job({ uid: 'job-1', tasks: 6000 });
