--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/', 'node_modules/', 'journal/'] },
+  { ignores: ['target/', 'node_modules/', 'journal/', 'test/fixtures/production/'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
--- a/src/completions.ts
+++ b/src/completions.ts
@@ -196,8 +196,12 @@
       const others = new Map([...slots].filter(([other]) => other !== n));
       const changed = new Set<number>();
       for (const [name, bits] of slot) {
-        const copied = [...others.values()].some((s) => s.get(name) === bits);
-        if (copied) continue;
+        const copy = [...others].find(([, other]) => other.has(name))?.[0];
+        if (copy !== undefined) {
+          // An old owner may have gone on with either copy: the other one has to have it all first.
+          if (this.#stored(index, copy)?.get(name) !== bits) changed.add(copy);
+          continue;
+        }
         if (sizeOf(kept) + bits.length + name.length < valueBytes * SLOT_FILL) {
           kept.set(name, bits);
           continue;
@@ -236,16 +240,26 @@
     batch.when.push({ key: key.done(index, slot), stamp });
   }
 
-  /** The part's slots without what belongs to ended jobs, or to ranges that end sooner now. */
+  #stored(index: number, slot: number): DoneSlot | undefined {
+    return this.mirror.tables['done/'].get(`${index}/${slot}`)?.value;
+  }
+
+  /**
+   * The part's slots without what belongs to ended jobs, or to ranges that end sooner now. A range that
+   * stands in two slots is done where either says so, whichever copy an owner went on with.
+   */
   #slots(index: number): Map<number, Map<string, string>> {
     const out = new Map<number, Map<string, string>>();
     for (const [id, { value }] of this.mirror.tables['done/']) {
       if (!id.startsWith(`${index}/`)) continue;
-      const live = [...value].flatMap(([name, bits]): [string, string][] => {
-        const job = this.mirror.tables['active/'].get(name.slice(0, name.lastIndexOf('/')));
+      const live = [...value.keys()].flatMap((name): [string, string][] => {
+        const uid = name.slice(0, name.lastIndexOf('/'));
         const from = Number(name.slice(name.lastIndexOf('/') + 1));
+        const job = this.mirror.tables['active/'].get(uid);
         const range = job?.value.ranges.find((r) => r.part === index && r.from === from);
-        return range === undefined ? [] : [[name, bits.slice(0, Math.ceil((range.to - from) / 4))]];
+        const bits = this.mirror.done(index, uid, from);
+        if (range === undefined || bits === undefined) return [];
+        return [[name, bits.slice(0, Math.ceil((range.to - from) / 4))]];
       });
       out.set(Number(id.slice(id.indexOf('/') + 1)), new Map(live));
     }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -172,6 +172,47 @@
   }
 });
 
+test('an old owner goes on in the middle of a split: what it saved is not written over', async () => {
+  // The old version reads and writes the first slot that holds a range. The other copy is older then,
+  // and a split that continues from it would bring completed tasks back as waiting.
+  const [valueBytes, ops] = [512, 2];
+  const s = scene(valueBytes, ops);
+  const tasks = 240;
+  const range = { from: 0, to: tasks };
+  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
+  const records: JobRecord[] = [];
+  const large: Record<string, string> = {};
+  for (let n = 0; n < 20; n++) {
+    const record = job({ uid: `job-${n}`, tasks });
+    records.push(record);
+    s.values.set(`active/job-${n}`, { value: encodeActive(record), stamp: 2 });
+    large[`job-${n}/0`] = encodeDone(range, new Set([n]));
+  }
+  s.values.set('done/0/0', { value: {}, stamp: 3 });
+  s.values.set('done/0/1', { value: large, stamp: 3 });
+  s.show();
+  const part = partWith(new Store().add(...records));
+  const slot = (n: number) => s.values.get(`done/0/${n}`)!.value as Record<string, string>;
+  await s.save(part);
+  const twice = Object.keys(slot(0)).filter((name) => name in slot(1));
+  assert.ok(twice.length > 0, 'the split is half done');
+  const value = { ...slot(0) };
+  for (const name of twice) {
+    const n = Number(/\d+/.exec(name)![0]);
+    value[name] = encodeDone(range, new Set([n, 100]));
+  }
+  s.values.set('done/0/0', { value, stamp: 99 });
+  s.show();
+  for (let step = 0; step < 20; step++) {
+    await s.save(part);
+    for (const name of twice) {
+      const uid = name.slice(0, name.indexOf('/'));
+      assert.ok(s.known(uid).has(100), `${uid} after step ${step}`);
+    }
+  }
+  assert.ok([...s.values.values()].every((v) => JSON.stringify(v.value).length <= valueBytes));
+});
+
 test('a range that stands in two slots is done where either says so, whichever is met first', () => {
   for (const [a, b, either] of [
     ['c0', '90', 'd0'],
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -135,6 +135,8 @@
   #count = 0;
   /** the next rental is carried out, but its answer gets lost */
   loseAnswer = false;
+  /** ms that the answer to a rental takes; the machines are there at once */
+  slowRentalMs = 0;
   /** machines at once; more are refused */
   most = Infinity;
 
@@ -180,6 +182,7 @@
         for (let i = 0; i < room; i++) names.push(await this.#boot(body.Reclaimable, body.Site));
       }
       this.#answers.set(body.Hire, names);
+      if (this.slowRentalMs > 0) await sleep(this.slowRentalMs);
       if (this.loseAnswer) {
         this.loseAnswer = false;
         return 'hang';
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -1,14 +1,12 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import pino from 'pino';
-import { parseOperator } from '../../src/config/operator.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
 import { partOfTeam } from '../../src/core/jobs.js';
 import type { Team } from '../../src/core/model.js';
 import { CborClient, type Answer } from '../../src/http.js';
-import { Service } from '../../src/service.js';
 import { FakeCloud, type WorkerHost } from './cloud.js';
+import { createController, type Controller, type Version } from './controllers.js';
 import { Link } from './link.js';
 import { FakeState, StateDoor } from './state.js';
 import { Ground } from './worker.js';
@@ -30,8 +28,23 @@
   readonly teams?: readonly Team[];
   readonly zones?: readonly string[];
   readonly stateLimits?: PlatformConfig['stateLimits'];
+  /** values that stand in the state service before the first controller starts */
+  readonly seed?: Readonly<Record<string, unknown>>;
+  /** version of each node at the start, by name; the present one if not given */
+  readonly versions?: Readonly<Record<string, Version>>;
 }
 
+/** What the version in production reads of the limits: it knows none that are announced. */
+const PRODUCTION_LIMITS: PlatformConfig['stateLimits'] = {
+  rps: 600,
+  writeRps: 300,
+  valueBytes: 8192,
+  transactionOps: 8,
+  next: { rps: 600, writeRps: 300 },
+};
+/** ms; a controller that ended by itself is started again, by the same version, after this */
+const RESTART_MS = 500;
+
 export const TEAM: Team = { name: 't', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
 
 /** Whole controllers on loopback, each way between them and to the state service open to trouble. */
@@ -41,7 +54,11 @@
   readonly doors = new Map<string, StateDoor>();
   readonly ground: Ground;
   cloud!: FakeCloud;
-  readonly #services = new Map<string, Service>();
+  readonly #controllers = new Map<string, Controller>();
+  /** by node, its last life on its way out */
+  readonly #ending = new Map<string, Promise<void>>();
+  /** controllers that ended by themselves */
+  crashes = 0;
   readonly #clients = new Map<string, CborClient>();
   readonly #configs = new Map<string, PlatformConfig>();
   /** ways between nodes, by `from to` */
@@ -55,6 +72,7 @@
 
   async open(): Promise<void> {
     await this.state.start();
+    this.state.seed(this.options.seed ?? {});
     const listen = new Map<string, string>();
     const peerListen = new Map<string, string>();
     for (const n of this.names) {
@@ -92,32 +110,44 @@
         teams: new Map([TEAM, ...teams].map((t) => [t.name, t])),
         objectives: [],
         workers: { reportS: 0.5, leaseS, gangWaitS: 10, gangPeerS: 2, cancelS },
-        stateLimits: stateLimits ?? {
-          rps: 600,
-          writeRps: 300,
-          valueBytes: 8192,
-          transactionOps: 8,
-          next: { rps: 600, writeRps: 300 },
-        },
+        stateLimits: stateLimits ?? PRODUCTION_LIMITS,
         cloudLimits: { rps: 60, listLagS: 0.2 },
         sockets: 1000,
       });
       this.#clients.set(node, new CborClient(listen.get(node)!, 4));
     }
-    await Promise.all(this.names.map((n) => this.start(n)));
+    const { versions = {} } = this.options;
+    await Promise.all(this.names.map((n) => this.start(n, versions[n])));
     for (const n of this.names) await this.until(`${n} ready`, 15, () => this.ready(n));
   }
 
-  async start(node: string): Promise<void> {
+  async start(node: string, version: Version = 'current'): Promise<void> {
+    await this.#ending.get(node);
     const config = this.#configs.get(node)!;
-    const service = new Service(config, parseOperator('', ''), pino({ level: 'silent' }));
-    this.#services.set(node, service);
-    await service.start();
+    const settings = version === 'current' ? config : { ...config, stateLimits: PRODUCTION_LIMITS };
+    const controller: Controller = createController(version, settings, () => {
+      this.crashes += 1;
+      setTimeout(() => {
+        if (this.#controllers.get(node) === controller) void this.start(node, version);
+      }, RESTART_MS);
+    });
+    this.#controllers.set(node, controller);
+    await controller.start();
   }
 
   kill(node: string): void {
-    this.#services.get(node)?.close();
-    this.#services.delete(node);
+    const controller = this.#controllers.get(node);
+    if (controller === undefined) return;
+    this.#controllers.delete(node);
+    this.#ending.set(node, controller.kill());
+  }
+
+  /** Ends a node and starts it again with the given version. */
+  async replace(node: string, version: Version, awayMs = 300): Promise<void> {
+    this.kill(node);
+    await this.pass(awayMs / 1000);
+    await this.start(node, version);
+    await this.until(`${node} is ready`, 40, () => this.ready(node));
   }
 
   /** Cuts a node from the state service, or lets it back; unlike a refusal it gets no answer. */
--- /dev/null
+++ b/test/standins/production-process.ts
@@ -0,0 +1,33 @@
+/**
+ * Entry point of a child process that runs one controller of the version in production, bundled in
+ * test/fixtures/production. It gets its settings by the first message of its parent, answers with
+ * `listening`, and ends like the real program when an error is not handled.
+ */
+import pino from 'pino';
+import type { PlatformConfig } from '../../src/config/platform.js';
+
+interface ProductionModule {
+  readonly Service: new (
+    config: PlatformConfig,
+    operator: unknown,
+    log: unknown,
+  ) => { start(): Promise<void> };
+  readonly parseOperator: (file: string, text: string) => unknown;
+}
+
+const FIXTURE = new URL('../../../../test/fixtures/production/controller.js', import.meta.url);
+
+const fail = () => process.exit(1);
+process.on('uncaughtException', fail);
+process.on('unhandledRejection', fail);
+// Without its parent nobody would ever end this process.
+process.on('disconnect', fail);
+
+process.once('message', (config: PlatformConfig) => {
+  void (async () => {
+    const production = (await import(FIXTURE.href)) as ProductionModule;
+    const log = pino({ level: 'silent' });
+    await new production.Service(config, production.parseOperator('', ''), log).start();
+    process.send?.('listening');
+  })();
+});
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -34,6 +34,11 @@
     this.#timer = setInterval(() => this.#expire(), 50);
   }
 
+  /** Values that were there before any controller of the test. */
+  seed(values: Readonly<Record<string, unknown>>): void {
+    this.#write(Object.entries(values).map(([key, value]) => ({ Put: key, Value: value })));
+  }
+
   /** Ends the outage; every lease then has its full time again. */
   recover(): void {
     this.out = false;
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -22,12 +22,16 @@
   readonly limits = new Map<string, number>();
   /** starts of jobs whose cancellation had been confirmed */
   startedCancelled = 0;
+  /** starts of tasks that had completed before */
+  startedCompleted = 0;
 
   constructor(private readonly cancelMs = CANCEL_MS) {}
 
   begin(task: string, machine: string, now: number): void {
     this.started += 1;
     if (this.cancelledAt.has(task.slice(0, task.indexOf('/')))) this.startedCancelled += 1;
+    const [uid, index] = task.split('/') as [string, string];
+    if (this.completed.get(uid)?.has(Number(index)) ?? false) this.startedCompleted += 1;
     const others = [...(this.on.get(task) ?? [])].filter((m) => m !== machine);
     if (others.length > 0) this.broken.push(`ran_twice ${task} on ${machine} and ${others[0]}`);
     const set = this.on.get(task) ?? new Set();
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -25,7 +25,7 @@
  */
 const fixture = (name: string) =>
   readFileSync(new URL(`../../../test/fixtures/${name}`, import.meta.url), 'utf8');
-const OLD = JSON.parse(fixture('production.json')) as {
+const OLD = JSON.parse(fixture('production/values.json')) as {
   commit: string;
   values: Record<string, unknown>;
   frame: string;
@@ -120,7 +120,7 @@
   for await (const b of Readable.from([OLD.status]).pipe(new StatusEncoder())) {
     frames.push(b as Buffer);
   }
-  const Old = protobuf.parse(fixture('production.proto')).root.lookupType('sumacstep.Status');
+  const Old = protobuf.parse(fixture('production/peers.proto')).root.lookupType('sumacstep.Status');
   const message = Old.decodeDelimited(Buffer.concat(frames));
   const options = { arrays: true, defaults: true, longs: Number };
   assert.deepEqual(Old.toObject(message, options), OLD.status);
