--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -14,6 +14,7 @@
 const RUN_MS = 3000;
 /** leases that outlive a takeover, so that what ran before it is still there */
 const LASTING = { runMs: 14_000, leaseS: 12, cancelS: 26 };
+const LIMITED_ALSO = { name: 'limited too', cpus: 0, gpus: 0, cpusMax: 6, gpusMax: 0 };
 const LIMITED = { name: 'limited', cpus: 0, gpus: 0, cpusMax: 8, gpusMax: 0 };
 
 interface Row {
@@ -335,9 +336,174 @@
       await c.start('n0');
     },
   },
+  {
+    // What hangs or is cut off may run on after the cancellation, and counts against each limit.
+    name: 'every team is at its limit, jobs are cancelled whose machines are out of reach, owners change',
+    options: { ...LASTING, teams: [LIMITED, LIMITED_ALSO] },
+    jobs: [1, 2, 3].flatMap(() => [
+      { ...SMALL, Owner: 'limited', Vcpus: 2, Pieces: 4 },
+      { ...SMALL, Owner: 'limited too', Vcpus: 3, Pieces: 2 },
+    ]),
+    meet: async (c, uids) => {
+      const busy = c.hosts().filter((h) => h.worker.tasks.size > 0);
+      busy.forEach((h, i) => {
+        if (i % 2 === 0) h.worker.hung = true;
+        else h.deaf = h.mute = true;
+      });
+      const cancelling = [c.cancel('n0', uids[0]!), c.cancel('n1', uids[1]!)];
+      for (const n of c.names) await crash(c, n, 300);
+      await c.pass(8);
+      await Promise.all(cancelling);
+      for (const h of c.hosts()) h.worker.hung = h.deaf = h.mute = false;
+    },
+  },
+  {
+    // A node that has not read yet what another one has just answered would say less than that.
+    name: 'users ask at all nodes within milliseconds after acceptance, end and cancellation',
+    options: { runMs: 1200 },
+    jobs: [],
+    meet: async (c) => {
+      const follow = async (i: number) => {
+        const body = c.submission({ ...SMALL, Pieces: 2 });
+        const uid = await c.submitBody(c.names[i % 3]!, body);
+        await c.look(body);
+        if (i % 3 === 0) await c.cancel(c.names[(i + 1) % 3]!, uid);
+        for (let looks = 0; looks < 25; looks++) {
+          await c.look(body);
+          await sleep(looks < 5 ? 2 : 60);
+        }
+      };
+      for (let wave = 0; wave < 3; wave++) {
+        await Promise.all([0, 1, 2, 3, 4, 5].map((i) => follow(i + wave)));
+      }
+    },
+  },
+  {
+    // Carried out after the new owner's word, a start of the deposed one would run twice.
+    name: 'commands of an owner that has ended arrive after those of the next',
+    options: LASTING,
+    jobs: [LONG, { ...SMALL, Pieces: 3 }],
+    meet: async (c) => {
+      for (let i = 0; i < 3; i++) {
+        for (const h of c.hosts()) h.heldMs = 3000;
+        await c.submit(c.names[(i + 1) % 3]!, LONG);
+        await c.pass(0.6);
+        c.kill(c.names[i]!);
+        for (const h of c.hosts()) h.heldMs = 0;
+        await c.pass(i === 0 ? 0.2 : 8);
+        await c.start(c.names[i]!);
+        await c.pass(2);
+      }
+    },
+  },
+  {
+    // Whoever takes or gives a part must carry what was cancelled on the way.
+    name: 'jobs are cancelled in the seconds in which a part changes hands',
+    options: LASTING,
+    jobs: Array.from({ length: 14 }, () => ({ ...LONG, Pieces: 17 })),
+    meet: async (c, uids) => {
+      const open = [...uids];
+      const cancelOver = async (seconds: number) => {
+        for (let t = 0; t < seconds * 2 && open.length > 4; t++) {
+          await Promise.all([c.cancel(c.names[1 + (t % 2)]!, open.pop()!), c.pass(0.5)]);
+        }
+      };
+      c.kill('n0');
+      await cancelOver(3);
+      // Its old incarnation's lease ends, the part is taken, and goes back after a while.
+      await c.pass(4);
+      await c.start('n0');
+      await c.pass(4);
+      await cancelOver(6);
+    },
+  },
+  {
+    // A write taken for lost and repeated, or left out, though others have read it already.
+    name: 'transactions are carried out at once and only their answers are lost',
+    jobs: [LONG, { ...LONG, Pieces: 40 }, { ...SMALL, Shape: 'ensemble', Pieces: 2 }],
+    meet: async (c, [, second]) => {
+      const losing = (on: boolean) => {
+        for (const d of c.doors.values()) d.losingAnswers = on;
+      };
+      losing(true);
+      const more = c.submission(LONG);
+      const submitting = c.submitBody('n1', more);
+      const cancelling = c.cancel('n2', second!);
+      await c.pass(5);
+      await crash(c, 'n0', 300);
+      await c.pass(4);
+      losing(false);
+      await Promise.all([submitting, cancelling]);
+      await c.look(more);
+      const lost = [...c.doors.values()].reduce((sum, d) => sum + d.lost, 0);
+      assert.ok(lost >= 3, `${lost} answers were lost`);
+    },
+  },
+  {
+    // Each job costs writes of its own: what waits for them must not go missing, nor start again.
+    name: 'jobs of one task come four a second, a quarter of them is cancelled',
+    options: { runMs: 1500 },
+    jobs: [],
+    meet: async (c) => {
+      const work: Promise<unknown>[] = [];
+      for (let i = 0; i < 60; i++) {
+        const node = c.names[i % 3]!;
+        const one = async () => {
+          const uid = await c.submit(node, { ...SMALL, Pieces: 1 });
+          if (i % 4 !== 0) return;
+          await sleep((i * 37) % 1600);
+          await c.cancel(c.names[(i + 1) % 3]!, uid);
+        };
+        work.push(one());
+        if (i === 30) work.push(crash(c, 'n1', 300));
+        await c.pass(0.25);
+      }
+      await Promise.all(work);
+    },
+  },
+  {
+    // Nothing recorded says that anything could run there: the next owner would start it all again.
+    name: 'new machines are up at once and get work while writes lag, and the owner ends',
+    options: LASTING,
+    jobs: [LONG],
+    meet: async (c) => {
+      for (let i = 0; i < 3; i++) {
+        for (const d of c.doors.values()) d.slowWritesMs = 900;
+        const before = c.cloud.machines.size;
+        await c.submit(c.names[i]!, { ...SMALL, Vcpus: 4, Pieces: 12 });
+        await c.until('new machines', 30, () => c.cloud.machines.size > before);
+        await c.pass(0.4 + i * 0.6);
+        for (const d of c.doors.values()) d.slowWritesMs = i === 1 ? 900 : 0;
+        await crash(c, c.names[i]!, i === 0 ? 4000 : 200);
+      }
+      for (const d of c.doors.values()) d.slowWritesMs = 0;
+    },
+  },
+  {
+    // It lists nothing of what runs there now; taken for the machine's answer, all would start again.
+    name: 'an old report reaches every controller just as a new owner begins',
+    options: LASTING,
+    jobs: [{ ...SMALL, Pieces: 6 }],
+    meet: async (c) => {
+      for (const h of c.hosts()) h.keepReport();
+      await c.submit('n1', LONG);
+      await c.submit('n2', LONG);
+      await c.pass(2);
+      for (const [i, n] of c.names.entries()) {
+        c.kill(n);
+        await c.pass(i === 0 ? 7 : 0.3);
+        const starting = c.start(n);
+        for (let t = 0; t < 25; t++) {
+          for (const h of c.hosts()) h.deliverKept();
+          await c.pass(0.1);
+        }
+        await starting;
+      }
+    },
+  },
 ];
 
-describe('troubles that meet', { concurrency: 4 }, () => {
+describe('troubles that meet', { concurrency: 6 }, () => {
   for (const row of ROWS) {
     test(row.name, async () => {
       const c = new Cluster({
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -13,7 +13,8 @@
  * late, copies of reports come late by up to several leases, at whoever owns the part then; machines
  * hang, fall silent, hear nothing of what they are told, or reach nobody while commands reach them, and
  * are returned; former owners that lost sight of everybody go on answering, for as long as an unknown
- * cancellation allows; saves get no answer and count later; jobs and services arrive, are cancelled, also
+ * cancellation allows; saves get no answer and count later or at once; old reports are kept for the
+ * next owner; jobs and services arrive, are cancelled, also
  * while their machines hang and at the moment of their end. After each step no task may be on two machines
  * and no cancelled job may still run, and what was not cancelled is still known.
  */
@@ -59,7 +60,11 @@
   const late: Late[] = [];
   const hungUntil = new Map<string, number>();
   const copies: Copy[] = [];
+  /** copies that the network keeps until the next owner begins */
+  let keptForNext: Report[] = [];
   let copied = 0;
+  let keptDelivered = 0;
+  let lostAnswers = 0;
   let deafened = 0;
   let machines = 0;
   let jobs = 0;
@@ -83,6 +88,13 @@
         lateSaves.push({ at: now + 2000 + random(10_000), save });
         continue;
       }
+      if (saving.length > 0 && chance(5)) {
+        // Carried out at once, and only the answer is lost: others read what this owner takes for open.
+        lostAnswers += 1;
+        const range = { from: 0, to: tasks };
+        store.bits.set(`${uid}/0`, encodeDone(range, new Set([...j.saved, ...saving])));
+        continue;
+      }
       part.saved(uid, saving);
       if (j.saved.size > 0) {
         store.bits.set(`${uid}/0`, encodeDone({ from: 0, to: tasks }, j.saved));
@@ -142,7 +154,10 @@
         formerSince = now;
         term += 1;
         part = partWith(store, term, {}, now);
+        for (const report of keptForNext) part.beat(report, now, true);
+        keptDelivered += keptForNext.length;
       }
+      keptForNext = [];
     }
     for (const c of copies.filter((x) => x.at <= now)) {
       copies.splice(copies.indexOf(c), 1);
@@ -202,6 +217,7 @@
       for (let more = chance(15) ? 1 + random(2) : 0; more > 0; more--) {
         copies.push({ at: now + random(COPY_MS), report: r });
       }
+      if (chance(5)) keptForNext.push(r);
       const owner = former !== null && chance(20) ? former : part;
       const renewable = now - formerSince <= renewableMs(CANCEL_MS, LEASE_MS);
       const result = owner.beat(r, now, owner === part, owner === part || renewable);
@@ -231,7 +247,15 @@
   for (const uid of store.jobs.keys()) {
     if (!part.jobs.has(uid)) ground.broken.push(`forgotten ${uid}`);
   }
-  return { ground, copied, deafened, cancelledAtEnd, servicesStarted };
+  return {
+    ground,
+    copied,
+    deafened,
+    cancelledAtEnd,
+    servicesStarted,
+    keptDelivered,
+    lostAnswers,
+  };
 };
 
 test('random failures break no rule, with fixed seeds', () => {
@@ -241,6 +265,8 @@
   let deafened = 0;
   let cancelledAtEnd = 0;
   let servicesStarted = 0;
+  let keptDelivered = 0;
+  let lostAnswers = 0;
   for (let seed = 1; seed <= 60; seed++) {
     const { ground, ...seen } = play(seed);
     assert.deepEqual(ground.broken, [], `seed ${seed}`);
@@ -248,11 +274,14 @@
     deafened += seen.deafened;
     cancelledAtEnd += seen.cancelledAtEnd;
     servicesStarted += seen.servicesStarted;
+    keptDelivered += seen.keptDelivered;
+    lostAnswers += seen.lostAnswers;
     started += ground.started;
     for (const done of ground.completed.values()) completed += done.size;
   }
   assert.ok(started > 2000, `only ${started} starts: the day tests nothing`);
   assert.ok(completed > 1000, `only ${completed} completions`);
   assert.ok(cancelledAtEnd > 20 && servicesStarted > 100, `${cancelledAtEnd} ${servicesStarted}`);
+  assert.ok(keptDelivered > 100 && lostAnswers > 50, `${keptDelivered} ${lostAnswers}`);
   assert.ok(copied > 1000 && deafened > 100, `${copied} copies, ${deafened} deaf machines`);
 });
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -52,6 +52,7 @@
   /** ms after which copies of its reports arrive once more, at any node; null: never */
   copyMs: number | null = null;
   copies = 0;
+  #nodes: readonly [string, string][] = [];
   #stopped = false;
   #busy = false;
   #last = 0;
@@ -60,6 +61,7 @@
   async start(make: (address: string) => FakeWorker, nodes: readonly [string, string][]) {
     await this.listen((r) => this.#command(r));
     this.worker = make(this.address);
+    this.#nodes = nodes;
     this.#timer = setInterval(() => void this.#beat(nodes), 50);
   }
 
@@ -107,20 +109,36 @@
     }
   }
 
-  /** Nobody waits for the answer to a copy. */
   #copyLater(nodes: readonly [string, string][], report: Report, ms: number): void {
     const timer = setTimeout(() => {
       if (this.#stopped) return;
       this.copies += 1;
-      const client = new CborClient(nodes[this.copies % nodes.length]![1], 1);
-      void client
-        .call('POST', '/agent/beat', toWire(report), 1000)
-        .catch(() => null)
-        .finally(() => client.close());
+      this.#deliver(nodes[this.copies % nodes.length]![1], report);
     }, ms);
     timer.unref();
   }
 
+  /** Nobody waits for the answer to a copy. */
+  #deliver(address: string, report: Report): void {
+    const client = new CborClient(address, 1);
+    void client
+      .call('POST', '/agent/beat', toWire(report), 1000)
+      .catch(() => null)
+      .finally(() => client.close());
+  }
+
+  #kept: Report | null = null;
+  /** Keeps a report as the worker would send it now. */
+  keepReport(): void {
+    this.#kept = this.worker.report();
+  }
+
+  /** The kept report arrives at every node. */
+  deliverKept(): void {
+    if (this.#kept === null || this.#stopped) return;
+    for (const [, address] of this.#nodes) this.#deliver(address, this.#kept);
+  }
+
   override close(): void {
     this.#stopped = true;
     if (this.#timer !== null) clearInterval(this.#timer);
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -228,7 +228,10 @@
   }
 
   async submit(node: string, over: Record<string, unknown> = {}): Promise<string> {
-    const body = this.submission(over);
+    return this.submitBody(node, this.submission(over));
+  }
+
+  async submitBody(node: string, body: ReturnType<Cluster['submission']>): Promise<string> {
     const rules = { team: body.Owner, tasks: body.Pieces, cpus: body.Vcpus, zone: body.Site };
     this.ground.jobs.set(body.Uid, { ...rules, oneZone: body.OneZone, spread: body.Spread });
     await this.until(`${body.Uid} accepted`, 20, async () => {
@@ -238,6 +241,33 @@
     return body.Uid;
   }
 
+  /**
+   * Asks every node at the same moment, and repeats the submission at each. Nobody may say less than was
+   * known to the user when the questions left.
+   */
+  async look(body: ReturnType<Cluster['submission']>): Promise<void> {
+    const uid = body.Uid;
+    const before = this.#ended.get(uid);
+    const answers = await Promise.all(
+      this.names.flatMap((n) => [
+        this.call(n, 'GET', `/submissions/${uid}`).catch(() => null),
+        this.call(n, 'POST', '/submissions', body).catch(() => null),
+      ]),
+    );
+    for (const a of answers) {
+      if (a === null) continue;
+      if (a.status === 404 || a.status === 400 || a.status === 422 || a.status === 201) {
+        this.ground.broken.push(`forgotten ${uid}: ${a.status}`);
+      }
+      if (a.status !== 200) continue;
+      const { Status } = a.body as { Status: string };
+      if (before !== undefined && Status !== before) {
+        this.ground.broken.push(`went_back ${uid}: ${before}, then ${Status}`);
+      }
+      if (Status === 'done' || Status === 'cancelled') this.#ended.set(uid, Status);
+    }
+  }
+
   /** The user is told that the job is cancelled: from now on the rule's time runs. */
   async cancel(node: string, uid: string): Promise<string> {
     await this.until(`${uid} cancelled`, 20, async () => {
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -175,6 +175,10 @@
   slowWritesMs = 0;
   /** every second transaction gets no answer and is carried out this much later, after newer ones */
   lateMs: number | null = null;
+  /** every second transaction is carried out at once, and only its answer is lost */
+  losingAnswers = false;
+  /** answers that were lost */
+  lost = 0;
   #transactions = 0;
   /** transactions that were carried out late */
   late = 0;
@@ -200,6 +204,10 @@
       return 'hang';
     }
     const reply = await this.state.handle(r);
+    if (r.path === '/multi' && this.losingAnswers && this.#transactions % 2 === 0) {
+      this.lost += 1;
+      return 'hang';
+    }
     return this.refusing ? 'hang' : reply;
   }
 }
