--- a/src/core/allowed.ts
+++ b/src/core/allowed.ts
@@ -1,24 +1,16 @@
 import type { Books, JobState, MachineState } from './books.js';
+import { tasksAllowedIn } from './zones.js';
 
 /** Whether a usable machine may take a task of the job, by its kind and the job's other tasks. */
 export const allowedOn = (m: MachineState, job: JobState, now: number): boolean => {
   const { spec } = job;
   if (spec.types !== null && !spec.types.includes(m.record.type)) return false;
-  if (spec.zone !== null && spec.zone !== m.record.zone) return false;
   if (m.record.spot && !spec.spot) return false;
   if (m.hold !== null && m.hold.uid !== spec.uid) return false;
   if (job.avoid.size > 0 && (job.avoid.get(m.record.name) ?? -Infinity) > now) return false;
   // A machine that just failed a task gets one task at a time until one succeeds.
   if (m.failedJobs.size > 0 && m.tasks.size > 0) return false;
-  if (spec.oneZone || spec.spread) {
-    let here = 0;
-    for (const p of job.placed.values()) {
-      if (p.machine.record.zone === m.record.zone) here += 1;
-      else if (spec.oneZone) return false;
-    }
-    if (spec.spread && here >= Math.ceil(spec.tasks / 2)) return false;
-  }
-  return true;
+  return tasksAllowedIn(job, m.record.zone) > 0;
 };
 
 /** The one check that every start passes. */
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -3,6 +3,7 @@
 import type { ClassStats } from './learning.js';
 import { dominantShare, timesIn, type JobSpec, type MachineType, type Objective } from './model.js';
 import type { JobState, MachineState, Part } from './part.js';
+import { ReachableRoom, zoneToGrow } from './reachable-room.js';
 
 export interface RentWish {
   readonly type: string;
@@ -170,54 +171,11 @@
 
 const inUse = (m: MachineState): boolean => m.tasks.size > 0 || m.foreign > 0;
 
-/** Machines that are there or asked for, by kind: type, zone, spot or not. */
-interface Kind {
-  readonly type: MachineType;
-  readonly zone: string;
-  readonly spot: boolean;
-  count: number;
-}
-const kindsOf = (staying: readonly MachineState[], input: CapacityInput): Map<string, Kind> => {
-  const kinds = new Map<string, Kind>();
-  const note = (name: string, zone: string, spot: boolean, count: number) => {
-    const type = input.types.get(name);
-    if (type === undefined) return;
-    const key = `${name} ${zone} ${spot}`;
-    const kind = kinds.get(key) ?? { type, zone, spot, count: 0 };
-    kind.count += count;
-    kinds.set(key, kind);
-  };
-  for (const m of staying) note(m.record.type, m.record.zone, m.record.spot, 1);
-  for (const p of input.pending) note(p.type, p.zone, p.spot, p.count);
-  return kinds;
-};
-
-/** Room for tasks of a job on those machines, whatever runs on them now. */
-const roomFor = (
-  job: JobState,
-  kinds: ReadonlyMap<string, Kind>,
-  staying: readonly MachineState[],
-  now: number,
-): number => {
-  const { spec } = job;
-  const avoided = new Map<string, number>();
-  if (job.avoid.size > 0) {
-    for (const m of staying) {
-      if ((job.avoid.get(m.record.name) ?? -Infinity) <= now) continue;
-      const key = `${m.record.type} ${m.record.zone} ${m.record.spot}`;
-      avoided.set(key, (avoided.get(key) ?? 0) + 1);
-    }
-  }
-  const byZone = new Map<string, number>();
-  for (const [key, { type, zone, spot, count }] of kinds) {
-    if (spot && !spec.spot) continue;
-    if (spec.types !== null && !spec.types.includes(type.name)) continue;
-    if (spec.zone !== null && spec.zone !== zone) continue;
-    const at = spec.oneZone ? zone : '';
-    const usable = count - (avoided.get(key) ?? 0);
-    byZone.set(at, (byZone.get(at) ?? 0) + timesIn(spec.demand, type) * usable);
-  }
-  return Math.max(0, ...byZone.values());
+/** Tasks that must find room at the same time: all of a gang, all replicas, one of an array. */
+const tasksNeedingRoom = (job: JobState): number => {
+  // A gang of which something is still placed is being stopped, and waits for that.
+  if (job.spec.kind === 'gang') return job.placed.size === 0 ? job.waiting.length : 0;
+  return job.spec.kind === 'service' ? job.waiting.length : 1;
 };
 
 export const planCapacity = (input: CapacityInput): CapacityPlan => {
@@ -313,19 +271,18 @@
   }
 
   // However little work it is: a job that no machine could ever take gets one that can.
-  const kinds = kindsOf(staying, input);
+  const reachable = new ReachableRoom(staying, input.pending, input.types, part.preempts, now);
   for (const job of part.jobs.values()) {
     if (rent.length > 0) break;
     if (job.over || job.waiting.length === 0) continue;
     const { spec } = job;
-    const needed = spec.kind === 'gang' ? job.waiting.length + job.placed.size : 1;
-    const missing = needed - roomFor(job, kinds, staying, now);
+    const missing = tasksNeedingRoom(job) - reachable.tasksOf(job);
     const type = cheapest(spec, input.types.values());
     if (missing <= 0 || type === null) continue;
     const count = Math.ceil(missing / Math.max(1, timesIn(spec.demand, type)));
-    const zones = spec.oneZone && spec.zone === null ? zoneOfMost(staying, type) : spec.zone;
-    const got = spec.spot ? wish(type, true, count, zones) : 0;
-    if (got < count) wish(type, false, count - got, zones);
+    const zone = zoneToGrow(job, type, staying);
+    const got = spec.spot ? wish(type, true, count, zone) : 0;
+    if (got < count) wish(type, false, count - got, zone);
   }
   return {
     rent,
@@ -334,9 +291,3 @@
     wanted: [...wanted].map(([type, need]) => ({ type, need })),
   };
 };
-
-/** The zone in which a job that needs a single one should grow. */
-const zoneOfMost = (staying: readonly MachineState[], type: MachineType): string | null => {
-  const count = (z: string) => staying.filter((m) => m.record.zone === z).length;
-  return [...type.zones].sort((a, b) => count(b) - count(a) || (a < b ? -1 : 1))[0] ?? null;
-};
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -214,6 +214,58 @@
   }
 });
 
+test('a replica that no machine can take gets one in the zone that its service needs: table', () => {
+  // Counted as a whole, machines of another zone, or full of replicas that never end, hid the need: a
+  // service spread over two zones waited for ever with half of its replicas.
+  const full = service({ uid: 'job-000009', tasks: 8, spot: false });
+  const cases: [string, Parameters<typeof job>[0], ReturnType<typeof machine>[], string[]][] = [
+    ['spread, machines in one zone', { tasks: 4, spread: true }, [machine('a')], ['y']],
+    [
+      'spread, machines in both zones',
+      { tasks: 4, spread: true },
+      [machine('a'), machine('b', { zone: 'y' })],
+      [],
+    ],
+    ['bound to a zone without machines', { tasks: 1, zone: 'y' }, [machine('a')], ['y']],
+    ['anywhere, room', { tasks: 4 }, [machine('a')], []],
+    ['anywhere, the machine is full of replicas', { tasks: 4 }, [machine('full')], ['z', 'y']],
+  ];
+  for (const [name, over, machines, zones] of cases) {
+    const store = new Store().add(...machines);
+    const ground = new Ground();
+    const part = partWith(store);
+    const workers = machines.map((m) => {
+      return new FakeWorker(m.name, ground, FOREVER, LEASE_MS, 0, m.zone);
+    });
+    const beat = (now: number) => {
+      part.placeAll(now);
+      for (const w of workers) {
+        w.advance(now);
+        const r = w.report();
+        const result = part.beat(r, now, true);
+        if (result.kind === 'answer') w.answered(part.term, result.commands, now, r.session);
+      }
+    };
+    beat(0);
+    if (machines[0]!.name === 'full') store.add(full);
+    part.sync(store, 1);
+    for (let now = 1; now < 4 * REPORT_MS; now += REPORT_MS / 3) beat(now);
+    store.add(service({ ...over, spot: false }));
+    part.sync(store, 4 * REPORT_MS);
+    for (let now = 4 * REPORT_MS; now < 8 * REPORT_MS; now += REPORT_MS / 3) beat(now);
+    // The class as a whole has all the machines that it needs.
+    const pending = [{ type: 'm', zone: 'z', spot: true, count: 9 }];
+    const { rent } = plan(part, 8 * REPORT_MS, { pending, idleKeepMs: 1e9 });
+    const served = part.jobs.get(UID)!.waiting.length === 0;
+    assert.equal(served, zones.length === 0, name);
+    const rented = rent.map((r) => r.zone);
+    if (zones.length === 0) assert.deepEqual(rented, [], name);
+    else
+      assert.ok(rented.length > 0 && rented.every((z) => zones.includes(z)), `${name}: ${rented}`);
+    assert.deepEqual(ground.broken, [], name);
+  }
+});
+
 test('capacity: replicas that run keep their room, whatever their run time', () => {
   const store = new Store().add(service({ tasks: 20, spot: false }));
   const stats = new Map([['c', { tasksPerS: 0, runS: null, sample: null }]]);
