--- /dev/null
+++ b/src/cloud/machine-types.ts
@@ -0,0 +1,40 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Logger } from 'pino';
+import { TYPES_MS, TYPES_RETRY_MS } from '../constants.js';
+import type { MachineType } from '../core/model.js';
+import { CloudTrouble, type CloudClient } from './client.js';
+
+/** The machine types of the cloud, read anew from time to time since prices move. */
+export class MachineTypes {
+  #types: ReadonlyMap<string, MachineType> | null = null;
+
+  constructor(
+    private readonly cloud: Pick<CloudClient, 'types'>,
+    private readonly log: Logger,
+  ) {}
+
+  /** By name; null until they have been read for the first time. */
+  get current(): ReadonlyMap<string, MachineType> | null {
+    return this.#types;
+  }
+
+  /** Reads them until the signal is given. */
+  async run(stop: AbortSignal): Promise<void> {
+    while (!stop.aborted) {
+      const read = await this.#read();
+      await sleep(read ? TYPES_MS : TYPES_RETRY_MS, undefined, { signal: stop });
+    }
+  }
+
+  async #read(): Promise<boolean> {
+    try {
+      const types = await this.cloud.types();
+      this.#types = new Map(types.map((t) => [t.name, t]));
+      return true;
+    } catch (error) {
+      if (!(error instanceof CloudTrouble)) throw error;
+      this.log.debug({ error: error.message }, 'machine types not read');
+      return false;
+    }
+  }
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -139,7 +139,7 @@
  * the way of an answer, the worker's own timers, and the end of its tasks. */
 export const LET_GO_MARGIN_MS = 1500;
 /** ms; an owner whose workers are all silent for this long, while a peer hears them, hands over. */
-export const DEAF_MS = 7000;
+export const NO_HEARTBEATS_MS = 7000;
 /** attempt numbers are term * this + counter: below 2^53 for terms under a billion. */
 export const ATTEMPTS_PER_TERM = 2 ** 23;
 
@@ -170,7 +170,7 @@
 /** orders in a row without effect after which a machine counts as one that hears nothing. */
 export const IGNORED_ORDERS = 2;
 /** report intervals after which a machine that hears nothing is returned to the cloud. */
-export const DEAF_REPORTS = 2;
+export const IGNORING_REPORTS = 2;
 /** share of the time for a cancellation after which a task that was told to stop and still runs
  * costs its machine: the rest is for the cloud's answer, and for asking again. */
 export const STOP_PATIENCE = 0.5;
@@ -185,7 +185,7 @@
 /** ms; a machine that failed a job's task is avoided by that job for this long. No job may wait for 90 s
  * beside a machine with room, and it may be the only one. */
 export const AVOID_MS = 60_000;
-/** ms; a machine that refused a start as full is left alone for this long: our books lag. */
+/** ms; a machine that refused a start as full is left alone for this long: our state lag. */
 export const FULL_PAUSE_MS = 3000;
 /** ms; a hold on a machine for a preempting task ends after this if the task went elsewhere. */
 export const HOLD_MS = 30_000;
@@ -217,13 +217,13 @@
 /** bytes of everything else in such a record: type and zone are short names */
 export const GROUP_BYTES = 300;
 /** ms; a waiting range that fits nowhere in its part may pass to another part after this. */
-export const PASS_AFTER_MS = 1500;
+export const TRANSFER_AFTER_MS = 1500;
 /** ms; what other nodes say of their room comes about once a second, so passes are tried as often. */
-export const PASS_EVERY_MS = 500;
+export const TRANSFER_EVERY_MS = 500;
 /** jobs looked at in one try, the longest waiting first. */
-export const PASS_TRIES = 10;
+export const TRANSFER_TRIES = 10;
 /** ms; a range that passed stays at least this long before it passes again. */
-export const PASS_AGAIN_MS = 5000;
+export const TRANSFER_AGAIN_MS = 5000;
 
 // --- cloud --------------------------------------------------------------------------------------
 /** ms; between tries to read the machine types, without which nothing can be decided. */
--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -23,7 +23,7 @@
 }
 
 /** The teller's side: every cancellation known here is repeated until every other node has it. */
-export class Teller {
+export class CancellationBroadcast {
   readonly #open = new Map<string, Told>();
   readonly #acknowledged = new Map<string, number>();
   #overflowAt = -Infinity;
@@ -84,7 +84,7 @@
 }
 
 /** The hearer's side: up to when every cancellation confirmed by any node is known here. */
-export class Hearer {
+export class CancellationReceiver {
   readonly #of = new Map<string, Coverage>();
 
   constructor(private readonly others: readonly string[]) {}
--- a/src/core/rooms.ts
+++ b/src/core/candidates.ts
@@ -1,6 +1,7 @@
 import { EQUAL_VOLUME } from '../constants.js';
-import { allowedOn } from './allowed.js';
-import type { Books, JobState, MachineState } from './books.js';
+import { satisfiesConstraints } from './constraints.js';
+import type { JobState, MachineState } from './part-records.js';
+import type { PartState } from './part-state.js';
 import { fits, timesIn, type Resources } from './model.js';
 import { unusedVolume } from './placement.js';
 
@@ -32,22 +33,22 @@
  * the same as among all machines: those left out could take nothing. What a job could not get, a job
  * of the same kind that asks for no less cannot get later in the pass, since room only shrinks.
  */
-export class Rooms {
+export class Candidates {
   readonly #rooms: MachineState[];
   readonly #held = new Set<string>();
   readonly #failed = new Map<string, { demand: Resources; tasks: number }[]>();
 
   constructor(
-    private readonly books: Books,
+    private readonly state: PartState,
     private readonly least: Resources,
     readonly now: number,
     /** one machine only: what else had room was offered to the queue before */
     only: MachineState | null = null,
   ) {
-    const machines = only === null ? books.machines.values() : [only];
+    const machines = only === null ? state.machines.values() : [only];
     this.#rooms = [];
     for (const m of machines) {
-      if (!fits(least, m.free) || !books.usable(m, now)) continue;
+      if (!fits(least, m.free) || !state.health.usable(m, now)) continue;
       this.#rooms.push(m);
       if (m.hold !== null) this.#held.add(m.hold.uid);
     }
@@ -86,7 +87,7 @@
   slots(job: JobState): Map<string, number> {
     const out = new Map<string, number>();
     for (const m of this.#rooms) {
-      if (!fits(job.spec.demand, m.free) || !allowedOn(m, job, this.now)) continue;
+      if (!fits(job.spec.demand, m.free) || !satisfiesConstraints(m, job, this.now)) continue;
       const zone = job.spec.oneZone ? m.record.zone : '';
       out.set(zone, (out.get(zone) ?? 0) + timesIn(job.spec.demand, m.free));
     }
@@ -109,8 +110,8 @@
     let best: Choice | null = null;
     for (const m of this.#rooms) {
       if (zone !== null && m.record.zone !== zone) continue;
-      if (!fits(demand, m.free) || !allowedOn(m, job, this.now)) continue;
-      if (partner !== null && !allowedOn(m, partner, this.now)) continue;
+      if (!fits(demand, m.free) || !satisfiesConstraints(m, job, this.now)) continue;
+      if (partner !== null && !satisfiesConstraints(m, partner, this.now)) continue;
       const held = m.images.has(image);
       const service = kind === 'service';
       // Most machines are out of it by this alone, and there are hundreds of them.
@@ -121,7 +122,7 @@
         crowded: service && replicas >= Math.ceil(tasks / 2),
         held,
         replicas,
-        volume: unusedVolume(m.free, this.books.largest),
+        volume: unusedVolume(m.free, this.state.largest),
       };
       if (best === null || isBetter(choice, best)) best = choice;
     }
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -187,7 +187,8 @@
     const bootMs = (m.type?.bootS ?? 60) * 1000;
     const neverUp = !m.everKnown && !m.record.up;
     if (part.isLost(m, now)) giveBack.push({ name: m.record.name, reason: 'silent' });
-    else if (part.isDeaf(m, now)) giveBack.push({ name: m.record.name, reason: 'hears nothing' });
+    else if (part.ignoresCommands(m, now))
+      giveBack.push({ name: m.record.name, reason: 'hears nothing' });
     else if (neverUp && now - m.since > bootMs * BOOT_GIVE_UP) {
       giveBack.push({ name: m.record.name, reason: 'never came up' });
     } else if (m.condemned) {
--- a/src/core/orders.ts
+++ b/src/core/commands.ts
@@ -3,15 +3,15 @@
   attemptKey,
   neverSent,
   taskKey,
-  type Books,
   type MachineState,
   type Placement,
-} from './books.js';
+} from './part-records.js';
+import { type PartState } from './part-state.js';
 import type { Command, Report } from './model.js';
 
-/** The commands that make workers do what the books say. */
-export class Orders {
-  constructor(private readonly books: Books) {}
+/** The commands that make workers do what the part's state say. */
+export class CommandPlanner {
+  constructor(private readonly state: PartState) {}
 
   #stopCommand(p: Placement, now: number): Command {
     const stop = p.stop!;
@@ -31,7 +31,7 @@
     const completed: Command[] = [];
     for (const t of report.tasks) {
       const { uid, index, attempt } = t;
-      const job = this.books.jobs.get(uid);
+      const job = this.state.jobs.get(uid);
       if (t.state === 'exited') {
         // A completion is forgotten by its worker only once it is saved.
         const unsaved = t.why === 'done' && job !== undefined && job.unsaved.has(index);
@@ -88,9 +88,9 @@
     mayStart: boolean,
   ): { machine: MachineState; commands: Command[]; starts: Placement[] }[] {
     const out: { machine: MachineState; commands: Command[]; starts: Placement[] }[] = [];
-    for (const m of this.books.machines.values()) {
+    for (const m of this.state.machines.values()) {
       if (out.length >= most) break;
-      if (m.address === null || !this.books.isFresh(m, now)) continue;
+      if (m.address === null || !this.state.health.isFresh(m, now)) continue;
       const commands: Command[] = [];
       const starts: Placement[] = [];
       for (const p of m.tasks.values()) {
--- a/src/core/allowed.ts
+++ b/src/core/constraints.ts
@@ -1,8 +1,9 @@
-import type { Books, JobState, MachineState } from './books.js';
+import type { JobState, MachineState } from './part-records.js';
+import type { PartState } from './part-state.js';
 import { tasksAllowedIn } from './zones.js';
 
 /** Whether a usable machine may take a task of the job, by its kind and the job's other tasks. */
-export const allowedOn = (m: MachineState, job: JobState, now: number): boolean => {
+export const satisfiesConstraints = (m: MachineState, job: JobState, now: number): boolean => {
   const { spec } = job;
   if (spec.types !== null && !spec.types.includes(m.record.type)) return false;
   if (m.record.spot && !spec.spot) return false;
@@ -14,5 +15,9 @@
 };
 
 /** The one check that every start passes. */
-export const allowed = (books: Books, m: MachineState, job: JobState, now: number): boolean =>
-  books.usable(m, now) && allowedOn(m, job, now);
+export const isFeasible = (
+  state: PartState,
+  m: MachineState,
+  job: JobState,
+  now: number,
+): boolean => state.health.usable(m, now) && satisfiesConstraints(m, job, now);
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -1,17 +1,18 @@
-import type { Books, JobState } from './books.js';
+import type { JobState } from './part-records.js';
+import type { PartState } from './part-state.js';
 import { add, ZERO, type Resources } from './model.js';
 
 /** Limits and guarantees of teams, by what their placed tasks use. */
 export class Limits {
-  constructor(private readonly books: Books) {}
+  constructor(private readonly state: PartState) {}
 
   /** How many more tasks of the job its team's limit allows now. */
   underLimit(job: JobState): number {
-    const team = this.books.settings.teams.get(job.spec.team);
+    const team = this.state.settings.teams.get(job.spec.team);
     if (team === undefined || (team.cpusMax <= 0 && team.gpusMax <= 0)) return Infinity;
     // What an unanswered machine runs for the team is not known, nor whose the tasks are that are
-    // being stopped for want of a place in our books: nothing more until both are settled.
-    if (!this.books.rebuilt || [...this.books.machines.values()].some((m) => m.foreign > 0))
+    // being stopped for want of a place in our state: nothing more until both are settled.
+    if (!this.state.rebuilt || [...this.state.machines.values()].some((m) => m.foreign > 0))
       return 0;
     const used = this.used(job.spec.team);
     const { cpus, gpus } = job.spec.demand;
@@ -23,7 +24,7 @@
 
   used(team: string): Resources {
     let used = ZERO;
-    for (const job of this.books.jobs.values()) {
+    for (const job of this.state.jobs.values()) {
       if (job.spec.team === team) used = add(used, job.spec.demand, job.placed.size);
     }
     return used;
@@ -31,14 +32,14 @@
 
   /** True if the team of the job stays within its guarantee with one more task of the job. */
   guaranteed(job: JobState): boolean {
-    const team = this.books.settings.teams.get(job.spec.team);
+    const team = this.state.settings.teams.get(job.spec.team);
     if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) return false;
     const used = add(this.used(job.spec.team), job.spec.demand);
     return (team.cpus <= 0 || used.cpus <= team.cpus) && (team.gpus <= 0 || used.gpus <= team.gpus);
   }
 
   beyondGuarantee(name: string): boolean {
-    const team = this.books.settings.teams.get(name);
+    const team = this.state.settings.teams.get(name);
     if (team === undefined) return true;
     const used = this.used(name);
     return used.cpus > team.cpus || used.gpus > team.gpus;
--- /dev/null
+++ b/src/core/machine-health.ts
@@ -0,0 +1,91 @@
+import {
+  IGNORING_REPORTS,
+  LOST_REPORTS,
+  LOST_REPORTS_SERVING,
+  SILENT_REPORTS,
+  STOP_PATIENCE,
+} from '../constants.js';
+import { serves, type MachineState, type PartSettings } from './part-records.js';
+
+/**
+ * What a part concludes from the reports of its machines: which may get work, which should be asked, and
+ * which are better returned to the cloud.
+ */
+export class MachineHealth {
+  constructor(
+    private readonly term: number,
+    private readonly settings: PartSettings,
+  ) {}
+
+  /** An earlier owner may have started something there. */
+  inherited(m: MachineState): boolean {
+    return m.record.era !== this.term && m.record.up;
+  }
+
+  /**
+   * True for a machine of an earlier term, which should be told of ours at once, and for one that seems to
+   * hear nothing: an answer to a command would show that it does.
+   */
+  needsProbe(m: MachineState): boolean {
+    if (m.returning) return false;
+    const untold = !m.known && (m.session > 0 || this.inherited(m));
+    return m.ignoringSince !== null || untold;
+  }
+
+  /** Silent for so long that the machine is better given back than waited for. */
+  isLost(m: MachineState, now: number): boolean {
+    const expected = m.everKnown || this.inherited(m);
+    if (!expected) return false;
+    // An answered return proves a replica gone sooner than the end of its lease does. A worker that is
+    // still looking for a living controller answers commands meanwhile.
+    const silentMs = now - Math.max(m.lastHeartbeatAt, m.reportedAt, m.since);
+    const gone = serves(m) && silentMs > this.settings.reportMs * LOST_REPORTS_SERVING;
+    return gone || this.#unreported(m, now);
+  }
+
+  /** A machine that only answers commands reaches no controller: its lease ends with all that it runs. */
+  #unreported(m: MachineState, now: number): boolean {
+    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * LOST_REPORTS;
+  }
+
+  /**
+   * Reports come, but orders have had no effect for so long that the machine is better given back:
+   * only that surely ends what runs there, which matters for cancelled jobs most of all.
+   */
+  ignoresCommands(m: MachineState, now: number): boolean {
+    if (
+      m.ignoringSince !== null &&
+      now - m.ignoringSince > this.settings.reportMs * IGNORING_REPORTS
+    ) {
+      return true;
+    }
+    const patience = this.settings.cancelMs * STOP_PATIENCE;
+    for (const p of m.tasks.values()) {
+      if (p.stop === null) continue;
+      const grace = p.job.over ? 0 : p.stop.graceS * 1000;
+      if (now - p.stop.at > grace + patience) return true;
+    }
+    return m.foreignSince !== null && now - m.foreignSince > patience;
+  }
+
+  isFresh(m: MachineState, now: number): boolean {
+    const fresh = now - m.lastHeartbeatAt <= this.settings.reportMs * SILENT_REPORTS;
+    return m.known && fresh && !this.#unreported(m, now);
+  }
+
+  /** Something may start there now, as far as the machine itself is concerned. */
+  usable(m: MachineState, now: number): boolean {
+    return (
+      this.isFresh(m, now) &&
+      m.record.up &&
+      m.type !== null &&
+      !m.condemned &&
+      !m.leaving &&
+      !m.returning &&
+      m.noticeAt === null &&
+      m.ignoringSince === null &&
+      m.foreign === 0 &&
+      m.fullUntil <= now
+    );
+  }
+}
--- /dev/null
+++ b/src/core/part-records.ts
@@ -0,0 +1,171 @@
+import type {
+  JobRecord,
+  JobSpec,
+  MachineRecord,
+  MachineType,
+  ResourceKind,
+  Resources,
+  Team,
+} from './model.js';
+
+/**
+ * What one part knows of its jobs, its machines and which task is where: the data that the modules of a
+ * part share. PartState keeps them up to date.
+ */
+
+/** A task on a machine, from the decision to start it until it is proven gone. */
+export interface Placement {
+  readonly job: JobState;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: MachineState;
+  state: 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving';
+  readonly orderedAt: number;
+  /** counter of the report whose answer carried the start; null: not sent yet */
+  sentCounter: number | null;
+  seen: boolean;
+  /** a start was sent directly and may be carried out at any time until the session ends */
+  direct: boolean;
+  runningSince: number | null;
+  stop: { at: number; graceS: number; sentDirect: boolean } | null;
+}
+
+export interface JobState {
+  readonly spec: JobSpec;
+  readonly rank: number;
+  /** demand as a share of C', and its dominant resource */
+  readonly share: Resources;
+  readonly dominant: ResourceKind;
+  readonly acceptedAt: number;
+  /** accepted, by the steady clock, ms */
+  readonly seenAt: number;
+  /** tasks of this part that are neither saved nor placed, in order of number */
+  waiting: number[];
+  readonly own: Set<number>;
+  /** tasks that an earlier owner of the part may have started */
+  readonly inherited: Set<number>;
+  readonly placed: Map<number, Placement>;
+  readonly saved: Set<number>;
+  readonly unsaved: Set<number>;
+  /** done or cancelled: nothing starts, what runs is stopped */
+  over: boolean;
+  pausedUntil: number;
+  failures: number;
+  /** steady ms of the last of them */
+  failedAt: number;
+  readonly avoid: Map<string, number>;
+  /** by when its tasks should start, steady ms, as of the last look at the queue */
+  due: number;
+  /** a gang that lost a task: nothing starts before all of it is gone */
+  broken: boolean;
+  /** since when tasks wait without room, steady ms */
+  stuckSince: number | null;
+  /** tasks that are being passed to another part: they start nowhere until that is settled */
+  transferring: number[];
+  /** the earliest time of the next pass */
+  transferAfter: number;
+}
+
+export interface MachineState {
+  record: MachineRecord;
+  readonly type: MachineType | null;
+  readonly since: number;
+  address: string | null;
+  session: number;
+  counter: number;
+  /** counter of the newest report that came by itself, not as the answer to a command */
+  lastReport: number;
+  /** since when orders show no effect: reports come, but what we say does not arrive */
+  ignoringSince: number | null;
+  /** orders in a row that showed no effect */
+  ignored: number;
+  /** sessions below this are over, by the clock */
+  leastSession: number;
+  lastHeartbeatAt: number;
+  /** the newest report that came by itself: only its answer renews the worker's lease */
+  reportedAt: number;
+  answeredAt: number;
+  /** a report under our term has come: its task list is complete */
+  known: boolean;
+  knownSince: number;
+  everKnown: boolean;
+  firstKnownAt: number | null;
+  noticeAt: number | null;
+  readonly tasks: Map<string, Placement>;
+  /** reported tasks that have no place in our state and are being stopped */
+  foreign: number;
+  foreignSince: number | null;
+  /** since when the worker lists completed tasks that it could forget */
+  forgettableSince: number | null;
+  /** attempts whose direct start may still be under way: forgetting them could start them again */
+  readonly doubtful: Set<string>;
+  readonly images: Map<string, number>;
+  readonly failedJobs: Set<string>;
+  condemned: boolean;
+  /** to be returned: no starts, and what runs is stopped */
+  leaving: boolean;
+  /** its record is gone or another part's, although we have not returned it */
+  unrecorded: boolean;
+  returning: boolean;
+  fullUntil: number;
+  /** kept for a job; partial: its gang has not enough machines in sight yet */
+  hold: { uid: string; until: number; partial: boolean } | null;
+  idleSince: number;
+  free: Resources;
+}
+
+export interface PartSettings {
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly cancelMs: number;
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly types: ReadonlyMap<string, MachineType>;
+  readonly preempt: boolean;
+  /** images that an earlier owner knew on a machine, with their sizes */
+  readonly imagesOf: (machine: string) => ReadonlyMap<string, number>;
+  /** seconds from acceptance by which tasks of a class should start, the earliest first */
+  readonly startWithin: (jobClass: string) => readonly number[];
+}
+
+/** What has changed in the state service since the last look. */
+export interface Changes {
+  readonly jobs: ReadonlySet<string>;
+  readonly machines: boolean;
+}
+
+/** What the state service says about this part. */
+export interface PartView {
+  readonly jobs: ReadonlyMap<string, { readonly value: JobRecord }>;
+  /** completed tasks of a range of this part, as saved */
+  done(uid: string, from: number): string | undefined;
+  readonly machines: ReadonlyMap<string, { readonly value: MachineRecord }>;
+}
+
+export interface TaskEvent {
+  readonly what: 'placed' | 'running' | 'ended' | 'released' | 'adopted' | 'stopping';
+  readonly uid: string;
+  readonly index: number;
+  readonly machine: string;
+  readonly attempt: number;
+  /** s since the job was seen here */
+  readonly afterS: number;
+  readonly detail?: string;
+}
+
+export interface FinishedRun {
+  readonly jobClass: string;
+  readonly runS: number;
+}
+
+export const attemptKey = (p: Placement) => `${p.job.spec.uid}/${p.index}@${p.attempt}`;
+
+/** No order to start it has left: it can be taken back at once. */
+export const neverSent = (p: Placement): boolean => !p.seen && !p.direct && p.sentCounter === null;
+
+/** Replicas of services run there. */
+export const serves = (m: MachineState): boolean => {
+  for (const p of m.tasks.values()) if (p.job.spec.kind === 'service' && p.seen) return true;
+  return false;
+};
+
+export const taskKey = (uid: string, index: number) => `${uid}/${index}`;
--- a/src/core/books.ts
+++ b/src/core/part-state.ts
@@ -1,14 +1,9 @@
 import {
   ATTEMPTS_PER_TERM,
   CLOCK_DRIFT,
-  DEAF_REPORTS,
-  LOST_REPORTS,
-  LOST_REPORTS_SERVING,
   ORDER_UNSENT_MS,
-  PASS_AGAIN_MS,
+  TRANSFER_AGAIN_MS,
   ROUNDING,
-  SILENT_REPORTS,
-  STOP_PATIENCE,
   WORKER_LEASE_MARGIN_MS,
 } from '../constants.js';
 import { decodeDone } from './jobs.js';
@@ -21,177 +16,30 @@
   shareOf,
   ZERO,
   type JobRecord,
-  type JobSpec,
   type MachineRecord,
-  type MachineType,
   type ResourceKind,
   type Resources,
   type TaskRange,
-  type Team,
 } from './model.js';
-
-/** A task on a machine, from the decision to start it until it is proven gone. */
-export interface Placement {
-  readonly job: JobState;
-  readonly index: number;
-  readonly attempt: number;
-  readonly machine: MachineState;
-  state: 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving';
-  readonly orderedAt: number;
-  /** counter of the report whose answer carried the start; null: not sent yet */
-  sentCounter: number | null;
-  seen: boolean;
-  /** a start was sent directly and may be carried out at any time until the session ends */
-  direct: boolean;
-  runningSince: number | null;
-  stop: { at: number; graceS: number; sentDirect: boolean } | null;
-}
-
-export interface JobState {
-  readonly spec: JobSpec;
-  readonly rank: number;
-  /** demand as a share of C', and its dominant resource */
-  readonly share: Resources;
-  readonly dominant: ResourceKind;
-  readonly acceptedAt: number;
-  /** accepted, by the steady clock, ms */
-  readonly seenAt: number;
-  /** tasks of this part that are neither saved nor placed, in order of number */
-  waiting: number[];
-  readonly own: Set<number>;
-  /** tasks that an earlier owner of the part may have started */
-  readonly inherited: Set<number>;
-  readonly placed: Map<number, Placement>;
-  readonly saved: Set<number>;
-  readonly unsaved: Set<number>;
-  /** done or cancelled: nothing starts, what runs is stopped */
-  over: boolean;
-  pausedUntil: number;
-  failures: number;
-  /** steady ms of the last of them */
-  failedAt: number;
-  readonly avoid: Map<string, number>;
-  /** by when its tasks should start, steady ms, as of the last look at the queue */
-  due: number;
-  /** a gang that lost a task: nothing starts before all of it is gone */
-  broken: boolean;
-  /** since when tasks wait without room, steady ms */
-  stuckSince: number | null;
-  /** tasks that are being passed to another part: they start nowhere until that is settled */
-  passing: number[];
-  /** the earliest time of the next pass */
-  passAfter: number;
-}
-
-export interface MachineState {
-  record: MachineRecord;
-  readonly type: MachineType | null;
-  readonly since: number;
-  address: string | null;
-  session: number;
-  counter: number;
-  /** counter of the newest report that came by itself, not as the answer to a command */
-  lastReport: number;
-  /** since when orders show no effect: reports come, but what we say does not arrive */
-  deafSince: number | null;
-  /** orders in a row that showed no effect */
-  ignored: number;
-  /** sessions below this are over, by the clock */
-  leastSession: number;
-  lastBeatAt: number;
-  /** the newest report that came by itself: only its answer renews the worker's lease */
-  reportedAt: number;
-  answeredAt: number;
-  /** a report under our term has come: its task list is complete */
-  known: boolean;
-  knownSince: number;
-  everKnown: boolean;
-  firstKnownAt: number | null;
-  noticeAt: number | null;
-  readonly tasks: Map<string, Placement>;
-  /** reported tasks that have no place in our books and are being stopped */
-  foreign: number;
-  foreignSince: number | null;
-  /** since when the worker lists completed tasks that it could forget */
-  forgettableSince: number | null;
-  /** attempts whose direct start may still be under way: forgetting them could start them again */
-  readonly doubtful: Set<string>;
-  readonly images: Map<string, number>;
-  readonly failedJobs: Set<string>;
-  condemned: boolean;
-  /** to be returned: no starts, and what runs is stopped */
-  leaving: boolean;
-  /** its record is gone or another part's, although we have not returned it */
-  unrecorded: boolean;
-  returning: boolean;
-  fullUntil: number;
-  /** kept for a job; partial: its gang has not enough machines in sight yet */
-  hold: { uid: string; until: number; partial: boolean } | null;
-  idleSince: number;
-  free: Resources;
-}
-
-export interface PartSettings {
-  readonly reportMs: number;
-  readonly leaseMs: number;
-  readonly cancelMs: number;
-  readonly teams: ReadonlyMap<string, Team>;
-  readonly types: ReadonlyMap<string, MachineType>;
-  readonly preempt: boolean;
-  /** images that an earlier owner knew on a machine, with their sizes */
-  readonly imagesOf: (machine: string) => ReadonlyMap<string, number>;
-  /** seconds from acceptance by which tasks of a class should start, the earliest first */
-  readonly startWithin: (jobClass: string) => readonly number[];
-}
-
-/** What has changed in the state service since the last look. */
-export interface Changes {
-  readonly jobs: ReadonlySet<string>;
-  readonly machines: boolean;
-}
-
-/** What the state service says about this part. */
-export interface PartView {
-  readonly jobs: ReadonlyMap<string, { readonly value: JobRecord }>;
-  /** completed tasks of a range of this part, as saved */
-  done(uid: string, from: number): string | undefined;
-  readonly machines: ReadonlyMap<string, { readonly value: MachineRecord }>;
-}
-
-export interface TaskEvent {
-  readonly what: 'placed' | 'running' | 'ended' | 'released' | 'adopted' | 'stopping';
-  readonly uid: string;
-  readonly index: number;
-  readonly machine: string;
-  readonly attempt: number;
-  /** s since the job was seen here */
-  readonly afterS: number;
-  readonly detail?: string;
-}
-
-export interface FinishedRun {
-  readonly jobClass: string;
-  readonly runS: number;
-}
-
-export const attemptKey = (p: Placement) => `${p.job.spec.uid}/${p.index}@${p.attempt}`;
-
-/** No order to start it has left: it can be taken back at once. */
-export const neverSent = (p: Placement): boolean => !p.seen && !p.direct && p.sentCounter === null;
-
-/** Replicas of services run there. */
-export const serves = (m: MachineState): boolean => {
-  for (const p of m.tasks.values()) if (p.job.spec.kind === 'service' && p.seen) return true;
-  return false;
-};
-
-export const taskKey = (uid: string, index: number) => `${uid}/${index}`;
+import { MachineHealth } from './machine-health.js';
+import {
+  neverSent,
+  taskKey,
+  type Placement,
+  type JobState,
+  type MachineState,
+  type PartSettings,
+  type Changes,
+  type PartView,
+  type TaskEvent,
+  type FinishedRun,
+} from './part-records.js';
 
 /**
  * What one part knows under one term: its jobs, its machines, and which task is where. The other
  * modules of a part read and change it; nothing here decides where something should run.
  */
-export class Books {
+export class PartState {
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
   /** what happened to tasks, for the log */
@@ -202,6 +50,7 @@
   readonly gone = new Set<string>();
   /** jobs whose change could not be taken in yet */
   readonly unsynced = new Set<string>();
+  readonly health: MachineHealth;
   largest: Resources;
   attempts = 0;
 
@@ -210,6 +59,7 @@
     readonly term: number,
     readonly settings: PartSettings,
   ) {
+    this.health = new MachineHealth(term, settings);
     this.largest = largestCapacity(settings.types.values());
   }
 
@@ -262,10 +112,10 @@
       session: 0,
       counter: -1,
       lastReport: -1,
-      deafSince: null,
+      ignoringSince: null,
       ignored: 0,
       leastSession: 0,
-      lastBeatAt: -Infinity,
+      lastHeartbeatAt: -Infinity,
       reportedAt: -Infinity,
       answeredAt: -Infinity,
       known: false,
@@ -294,7 +144,7 @@
   #syncJob(record: JobRecord, view: PartView, now: number, nowOfDay: number): void {
     const spec = record.spec;
     let job = this.jobs.get(spec.uid);
-    if (job !== undefined && job.passing.length > 0) {
+    if (job !== undefined && job.transferring.length > 0) {
       this.unsynced.add(spec.uid);
       return;
     }
@@ -322,8 +172,8 @@
         due: Infinity,
         broken: false,
         stuckSince: null,
-        passing: [],
-        passAfter: -Infinity,
+        transferring: [],
+        transferAfter: -Infinity,
       };
       this.jobs.set(spec.uid, job);
       const bits = view.done(spec.uid, range.from);
@@ -343,8 +193,8 @@
    * many as have never been placed since the range's last placed task. Nothing of it may be running,
    * so an inherited range must be rebuilt first.
    */
-  passable(job: JobState, record: JobRecord): { range: TaskRange; from: number } | null {
-    if (job.over || job.passing.length > 0) return null;
+  transferable(job: JobState, record: JobRecord): { range: TaskRange; from: number } | null {
+    if (job.over || job.transferring.length > 0) return null;
     if (job.inherited.size > 0 && !this.rebuilt) return null;
     const waiting = new Set(job.waiting);
     const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
@@ -359,16 +209,16 @@
   }
 
   /** The tasks leave the queue before the transaction that passes them is sent. */
-  beginPass(job: JobState, from: number, to: number): void {
-    job.passing = job.waiting.filter((i) => i >= from && i < to);
+  beginTransfer(job: JobState, from: number, to: number): void {
+    job.transferring = job.waiting.filter((i) => i >= from && i < to);
     job.waiting = job.waiting.filter((i) => i < from || i >= to);
   }
 
   /** Settled: they belong to the other part now, or are ours as before. */
-  endPass(job: JobState, passed: boolean, now: number): void {
-    const tasks = job.passing;
-    job.passing = [];
-    job.passAfter = now + PASS_AGAIN_MS;
+  endTransfer(job: JobState, passed: boolean, now: number): void {
+    const tasks = job.transferring;
+    job.transferring = [];
+    job.transferAfter = now + TRANSFER_AGAIN_MS;
     job.stuckSince = null;
     if (!passed) {
       if (!job.over) job.waiting = [...job.waiting, ...tasks].sort((a, b) => a - b);
@@ -412,11 +262,6 @@
 
   // --- what can still be running -----------------------------------------------------------------
 
-  /** An earlier owner may have started something there. */
-  inherited(m: MachineState): boolean {
-    return m.record.era !== this.term && m.record.up;
-  }
-
   /** Machines that report, but whose record does not say so yet: nothing may start there. */
   justUp(): MachineState[] {
     return [...this.machines.values()].filter((m) => m.known && !m.record.up && !m.returning);
@@ -425,7 +270,7 @@
   /** True once every machine that an earlier owner could have used has answered us or is gone. */
   get rebuilt(): boolean {
     for (const m of this.machines.values()) {
-      if (this.inherited(m) && !m.everKnown) return false;
+      if (this.health.inherited(m) && !m.everKnown) return false;
     }
     return true;
   }
@@ -491,16 +336,9 @@
     this.note('stopping', p, now, `grace ${graceS} s`);
   }
 
-  /**
-   * Machines of an earlier term that should be told of ours at once, and those that seem to hear
-   * nothing: an answer to a command would show that they do.
-   */
-  unknownMachines(): MachineState[] {
-    return [...this.machines.values()].filter(
-      (m) =>
-        !m.returning &&
-        (m.deafSince !== null || (!m.known && (m.session > 0 || this.inherited(m)))),
-    );
+  /** Machines to ask by direct command. */
+  machinesToProbe(): MachineState[] {
+    return [...this.machines.values()].filter((m) => this.health.needsProbe(m));
   }
 
   // --- time --------------------------------------------------------------------------------------
@@ -524,44 +362,6 @@
     }
   }
 
-  /** Silent for so long that the machine is better given back than waited for. */
-  isLost(m: MachineState, now: number): boolean {
-    const expected = m.everKnown || this.inherited(m);
-    if (!expected) return false;
-    // An answered return proves a replica gone sooner than the end of its lease does. A worker that is
-    // still looking for a living controller answers commands meanwhile.
-    const silentMs = now - Math.max(m.lastBeatAt, m.reportedAt, m.since);
-    const gone = serves(m) && silentMs > this.settings.reportMs * LOST_REPORTS_SERVING;
-    return gone || this.#unreported(m, now);
-  }
-
-  /** A machine that only answers commands reaches no controller: its lease ends with all that it runs. */
-  #unreported(m: MachineState, now: number): boolean {
-    return now - Math.max(m.reportedAt, m.since) > this.settings.reportMs * LOST_REPORTS;
-  }
-
-  /**
-   * Reports come, but orders have had no effect for so long that the machine is better given back:
-   * only that surely ends what runs there, which matters for cancelled jobs most of all.
-   */
-  isDeaf(m: MachineState, now: number): boolean {
-    if (m.deafSince !== null && now - m.deafSince > this.settings.reportMs * DEAF_REPORTS) {
-      return true;
-    }
-    const patience = this.settings.cancelMs * STOP_PATIENCE;
-    for (const p of m.tasks.values()) {
-      if (p.stop === null) continue;
-      const grace = p.job.over ? 0 : p.stop.graceS * 1000;
-      if (now - p.stop.at > grace + patience) return true;
-    }
-    return m.foreignSince !== null && now - m.foreignSince > patience;
-  }
-
-  isFresh(m: MachineState, now: number): boolean {
-    const fresh = now - m.lastBeatAt <= this.settings.reportMs * SILENT_REPORTS;
-    return m.known && fresh && !this.#unreported(m, now);
-  }
-
   /**
    * Booked share of the part for a job of the rank: the largest over the resources, waiting tasks
    * included. Only machines that the job may use count, and only work that it cannot displace.
@@ -572,7 +372,7 @@
     let booked = ZERO;
     for (const m of this.machines.values()) {
       const dying = m.leaving || m.returning || m.condemned || m.noticeAt !== null;
-      if (m.type === null || dying || (m.everKnown && !this.isFresh(m, now))) continue;
+      if (m.type === null || dying || (m.everKnown && !this.health.isFresh(m, now))) continue;
       if (m.record.spot && !spot) continue;
       capacity = add(capacity, m.type);
       for (const p of m.tasks.values()) {
@@ -601,7 +401,7 @@
     if (!this.settings.preempt) return [];
     const out: { m: MachineState; rank: number }[] = [];
     for (const m of this.machines.values()) {
-      if (m.tasks.size === 0 || m.hold !== null || !this.usable(m, now)) continue;
+      if (m.tasks.size === 0 || m.hold !== null || !this.health.usable(m, now)) continue;
       let rank = 0;
       for (const p of m.tasks.values()) rank = Math.max(rank, p.job.rank + 1);
       if (rank <= PRIORITY_RANK.production) out.push({ m, rank });
@@ -624,27 +424,12 @@
     // Every task takes some CPU and memory, so a machine without either has no room.
     const room = (m: MachineState) => m.free.cpus > ROUNDING && m.free.memoryGb > ROUNDING;
     return [...this.machines.values()].filter(
-      (m) => room(m) && this.usable(m, now) && m.hold === null,
+      (m) => room(m) && this.health.usable(m, now) && m.hold === null,
     );
   }
 
   // --- placements --------------------------------------------------------------------------------
 
-  usable(m: MachineState, now: number): boolean {
-    return (
-      this.isFresh(m, now) &&
-      m.record.up &&
-      m.type !== null &&
-      !m.condemned &&
-      !m.leaving &&
-      !m.returning &&
-      m.noticeAt === null &&
-      m.deafSince === null &&
-      m.foreign === 0 &&
-      m.fullUntil <= now
-    );
-  }
-
   nextAttempt(): number {
     this.attempts += 1;
     return this.term * ATTEMPTS_PER_TERM + this.attempts;
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -1,6 +1,5 @@
 import type { JobRecord, Command, Report, ReportedTask, TaskRange } from './model.js';
 import {
-  Books,
   type Changes,
   type FinishedRun,
   type JobState,
@@ -9,16 +8,17 @@
   type PartView,
   type Placement,
   type TaskEvent,
-} from './books.js';
+} from './part-records.js';
+import { PartState } from './part-state.js';
 import { Limits } from './limits.js';
-import { Orders } from './orders.js';
+import { CommandPlanner } from './commands.js';
 import { Placing } from './placing.js';
 import { Preemption } from './preemption.js';
 import { Reports } from './reports.js';
 
-export type { JobState, MachineState, PartSettings, PartView, Placement } from './books.js';
+export type { JobState, MachineState, PartSettings, PartView, Placement } from './part-records.js';
 
-export type BeatResult =
+export type HeartbeatResult =
   | { readonly kind: 'answer'; readonly commands: Command[] }
   | { readonly kind: 'superseded' }
   | { readonly kind: 'old' }
@@ -32,9 +32,9 @@
  * does input or output.
  */
 export class Part {
-  readonly books: Books;
+  readonly state: PartState;
   readonly #reports: Reports;
-  readonly #orders: Orders;
+  readonly #orders: CommandPlanner;
   readonly #placing: Placing;
 
   constructor(
@@ -42,11 +42,11 @@
     readonly term: number,
     settings: PartSettings,
   ) {
-    this.books = new Books(index, term, settings);
-    const limits = new Limits(this.books);
-    this.#reports = new Reports(this.books);
-    this.#orders = new Orders(this.books);
-    this.#placing = new Placing(this.books, limits, new Preemption(this.books, limits));
+    this.state = new PartState(index, term, settings);
+    const limits = new Limits(this.state);
+    this.#reports = new Reports(this.state);
+    this.#orders = new CommandPlanner(this.state);
+    this.#placing = new Placing(this.state, limits, new Preemption(this.state, limits));
   }
 
   /**
@@ -54,10 +54,10 @@
    * keeps its lease by the answer, but nothing new begins. With `mayRenew` false what it says is
    * taken in, but it gets no answer, so that its lease ends.
    */
-  beat(report: Report, now: number, mayStart: boolean, mayRenew = true): BeatResult {
-    const m = this.books.machines.get(report.machine);
+  beat(report: Report, now: number, mayStart: boolean, mayRenew = true): HeartbeatResult {
+    const m = this.state.machines.get(report.machine);
     if (m === undefined) return { kind: 'unknown' };
-    if (report.token > this.books.term) return { kind: 'superseded' };
+    if (report.token > this.state.term) return { kind: 'superseded' };
     // Packets held back by a cut come late, and so do copies of reports. What was made before the
     // newest report says nothing new, and the worker does not wait for its answer any more.
     const past = report.session < Math.max(m.session, m.leastSession);
@@ -79,7 +79,7 @@
       return { kind: 'unanswered' };
     }
     m.answeredAt = now;
-    if (report.token !== this.books.term) {
+    if (report.token !== this.state.term) {
       // Orders of an earlier term may still reach this worker: its list is not complete yet. The
       // answer raises its token, and the next report counts.
       return { kind: 'answer', commands: [] };
@@ -91,90 +91,90 @@
 
   /** A report that came as the answer to direct commands. */
   inspected(report: Report, now: number): void {
-    const m = this.books.machines.get(report.machine);
-    if (m === undefined || report.token > this.books.term || report.session < m.leastSession)
+    const m = this.state.machines.get(report.machine);
+    if (m === undefined || report.token > this.state.term || report.session < m.leastSession)
       return;
     const newer =
       report.session > m.session || (report.session === m.session && report.counter > m.counter);
     if (newer) this.#reports.observe(m, report, now, true);
   }
 
-  // --- what the books know -----------------------------------------------------------------------
+  // --- what the part's state know -----------------------------------------------------------------------
 
   get jobs(): ReadonlyMap<string, JobState> {
-    return this.books.jobs;
+    return this.state.jobs;
   }
   get machines(): ReadonlyMap<string, MachineState> {
-    return this.books.machines;
+    return this.state.machines;
   }
   get happened(): TaskEvent[] {
-    return this.books.happened;
+    return this.state.happened;
   }
   get finishedRuns(): FinishedRun[] {
-    return this.books.finishedRuns;
+    return this.state.finishedRuns;
   }
   get rebuilt(): boolean {
-    return this.books.rebuilt;
+    return this.state.rebuilt;
   }
   get preempts(): boolean {
-    return this.books.settings.preempt;
+    return this.state.settings.preempt;
   }
   sync(view: PartView, now: number, nowOfDay = 0, changes: Changes | null = null): void {
-    this.books.sync(view, now, nowOfDay, changes);
+    this.state.sync(view, now, nowOfDay, changes);
   }
   saved(uid: string, indexes: Iterable<number>): void {
-    this.books.saved(uid, indexes);
+    this.state.saved(uid, indexes);
   }
   machineGone(name: string, now: number): void {
-    this.books.machineGone(name, now);
+    this.state.machineGone(name, now);
   }
   requestStop(p: Placement, graceS: number, now: number): void {
-    this.books.requestStop(p, graceS, now);
+    this.state.requestStop(p, graceS, now);
   }
   age(now: number): void {
-    this.books.age(now);
+    this.state.age(now);
   }
   justUp(): MachineState[] {
-    return this.books.justUp();
+    return this.state.justUp();
   }
-  unknownMachines(): MachineState[] {
-    return this.books.unknownMachines();
+  machinesToProbe(): MachineState[] {
+    return this.state.machinesToProbe();
   }
-  isDeaf(m: MachineState, now: number): boolean {
-    return this.books.isDeaf(m, now);
+  ignoresCommands(m: MachineState, now: number): boolean {
+    return this.state.health.ignoresCommands(m, now);
   }
   isLost(m: MachineState, now: number): boolean {
-    return this.books.isLost(m, now);
+    return this.state.health.isLost(m, now);
   }
   isFresh(m: MachineState, now: number): boolean {
-    return this.books.isFresh(m, now);
+    return this.state.health.isFresh(m, now);
   }
   load(rank: number, spot: boolean, now: number): number {
-    return this.books.load(rank, spot, now);
+    return this.state.load(rank, spot, now);
   }
   waiting(rank = 0): number {
-    return this.books.waiting(rank);
+    return this.state.waiting(rank);
   }
   displaceable(now: number): { m: MachineState; rank: number }[] {
-    return this.books.displaceable(now);
+    return this.state.displaceable(now);
   }
   busy(): { jobClass: string; tasks: number }[] {
-    return this.books.busy();
+    return this.state.busy();
   }
   rooms(now: number): MachineState[] {
-    return this.books.rooms(now);
+    return this.state.rooms(now);
   }
 
   // --- passing -----------------------------------------------------------------------------------
 
-  passable(job: JobState, record: JobRecord): { range: TaskRange; from: number } | null {
-    return this.books.passable(job, record);
+  transferable(job: JobState, record: JobRecord): { range: TaskRange; from: number } | null {
+    return this.state.transferable(job, record);
   }
-  beginPass(job: JobState, from: number, to: number): void {
-    this.books.beginPass(job, from, to);
+  beginTransfer(job: JobState, from: number, to: number): void {
+    this.state.beginTransfer(job, from, to);
   }
-  endPass(job: JobState, passed: boolean, now: number): void {
-    this.books.endPass(job, passed, now);
+  endTransfer(job: JobState, passed: boolean, now: number): void {
+    this.state.endTransfer(job, passed, now);
   }
 
   // --- placing and orders ------------------------------------------------------------------------
@@ -186,7 +186,11 @@
   queue(now: number): JobState[] {
     return this.#placing.queue(now);
   }
-  directCommands(now: number, most = Infinity, mayStart = true): ReturnType<Orders['direct']> {
+  directCommands(
+    now: number,
+    most = Infinity,
+    mayStart = true,
+  ): ReturnType<CommandPlanner['direct']> {
     return this.#orders.direct(now, most, mayStart);
   }
   directSettled(starts: readonly Placement[], executed: boolean): void {
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,10 +1,11 @@
 import { BEGIN_MS, NO_AIM_S } from '../constants.js';
-import { taskKey, type Books, type JobState, type MachineState, type Placement } from './books.js';
+import { taskKey, type JobState, type MachineState, type Placement } from './part-records.js';
+import { type PartState } from './part-state.js';
 import type { Limits } from './limits.js';
 import { add, fits, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
 import { complement, type TaskGroup } from './pairing.js';
 import type { Preemption } from './preemption.js';
-import { Rooms } from './rooms.js';
+import { Candidates } from './candidates.js';
 
 /** Waiting jobs by dominant resource, in the queue's order: partners are sought among the others. */
 type Partners = ReadonlyMap<ResourceKind, readonly { job: JobState; position: number }[]>;
@@ -15,7 +16,7 @@
   #last: { stuck: JobState[]; least: Resources } | null = null;
 
   constructor(
-    private readonly books: Books,
+    private readonly state: PartState,
     private readonly limits: Limits,
     private readonly preemption: Preemption,
   ) {}
@@ -37,16 +38,16 @@
    * `BEGIN_MS` after acceptance, so no stream of newer work can keep it waiting.
    */
   queue(now: number): JobState[] {
-    const { rebuilt } = this.books;
+    const { rebuilt } = this.state;
     const aimsOf = new Map<string, readonly number[]>();
     const open: { job: JobState; guaranteed: boolean; due: number }[] = [];
-    for (const job of this.books.jobs.values()) {
+    for (const job of this.state.jobs.values()) {
       if (job.over || job.waiting.length === 0 || job.broken || job.pausedUntil > now) continue;
       if (!rebuilt && job.inherited.size > 0) continue;
       const { jobClass } = job.spec;
       let aims = aimsOf.get(jobClass);
       if (aims === undefined) {
-        aims = this.books.settings.startWithin(jobClass);
+        aims = this.state.settings.startWithin(jobClass);
         aimsOf.set(jobClass, aims);
       }
       // Whoever has begun may wait for the next aim after one is missed; whoever has not keeps its
@@ -69,9 +70,9 @@
 
   /** A machine is held for a job only while that job has tasks waiting. */
   #dropHolds(): void {
-    for (const m of this.books.machines.values()) {
+    for (const m of this.state.machines.values()) {
       if (m.hold === null) continue;
-      const job = this.books.jobs.get(m.hold.uid);
+      const job = this.state.jobs.get(m.hold.uid);
       if (job === undefined || job.over || job.waiting.length === 0) m.hold = null;
     }
   }
@@ -83,7 +84,7 @@
     this.#last = null;
     if (queue.length === 0) return [];
     const least = leastOf(queue);
-    const stuck = this.#place(queue, new Rooms(this.books, least, now));
+    const stuck = this.#place(queue, new Candidates(this.state, least, now));
     this.#last = { stuck, least };
     const noRoom = new Set(stuck);
     for (const job of queue) job.stuckSince = noRoom.has(job) ? (job.stuckSince ?? now) : null;
@@ -99,7 +100,7 @@
     if (this.#last === null || !fits(this.#last.least, m.free)) return;
     const open = this.#last.stuck.filter((job) => this.#open(job, now));
     const queue = this.#imagesFirst(open, m, now);
-    if (queue.length > 0) this.#place(queue, new Rooms(this.books, this.#last.least, now, m));
+    if (queue.length > 0) this.#place(queue, new Candidates(this.state, this.#last.least, now, m));
   }
 
   /**
@@ -125,10 +126,10 @@
 
   #open(job: JobState, now: number): boolean {
     if (job.over || job.waiting.length === 0 || job.broken || job.pausedUntil > now) return false;
-    return job.inherited.size === 0 || this.books.rebuilt;
+    return job.inherited.size === 0 || this.state.rebuilt;
   }
 
-  #place(queue: readonly JobState[], rooms: Rooms): JobState[] {
+  #place(queue: readonly JobState[], rooms: Candidates): JobState[] {
     const stuck: JobState[] = [];
     const partners = this.#partners(queue);
     queue.forEach((job, position) => {
@@ -172,7 +173,7 @@
   }
 
   /** Places the next task of the job with its complement, or alone when the pair fits nowhere. */
-  #placeEntity(job: JobState, position: number, partners: Partners, rooms: Rooms): boolean {
+  #placeEntity(job: JobState, position: number, partners: Partners, rooms: Candidates): boolean {
     if (rooms.hopeless(job, 1)) return false;
     const room = this.limits.underLimit(job);
     if (room < 1) return false;
@@ -200,23 +201,23 @@
   #start(
     job: JobState,
     m: MachineState,
-    rooms: Rooms,
-    attempt = this.books.nextAttempt(),
+    rooms: Candidates,
+    attempt = this.state.nextAttempt(),
   ): Placement {
-    const p = this.books.place(job, job.waiting[0]!, attempt, m, rooms.now);
+    const p = this.state.place(job, job.waiting[0]!, attempt, m, rooms.now);
     rooms.taken(m);
     return p;
   }
 
   /** All tasks of a gang or none: each in turn on the most matched machine. */
-  #placeGang(job: JobState, rooms: Rooms): boolean {
+  #placeGang(job: JobState, rooms: Candidates): boolean {
     const tasks = job.waiting.length;
     if (job.placed.size > 0 || rooms.hopeless(job, tasks)) return false;
     if (this.limits.underLimit(job) < tasks) return false;
     const zones = [...rooms.slots(job)].filter(([, slots]) => slots >= tasks);
     zones.sort(([a], [b]) => (a < b ? -1 : 1));
     for (const [zone] of zones) {
-      const attempt = this.books.nextAttempt();
+      const attempt = this.state.nextAttempt();
       const placed: Placement[] = [];
       const holds = new Map<MachineState, MachineState['hold']>();
       while (job.waiting.length > 0) {
@@ -234,12 +235,12 @@
   }
 
   /** Not all fit: what was only noted down is taken back; no order has left yet. */
-  #takeBack(job: JobState, placed: readonly Placement[], rooms: Rooms): void {
+  #takeBack(job: JobState, placed: readonly Placement[], rooms: Candidates): void {
     for (const p of placed) {
       p.machine.tasks.delete(taskKey(job.spec.uid, p.index));
       job.placed.delete(p.index);
       job.waiting.push(p.index);
-      this.books.recount(p.machine, p.machine.idleSince);
+      this.state.recount(p.machine, p.machine.idleSince);
       rooms.givenBack(p.machine);
     }
     job.waiting.sort((a, b) => a - b);
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,6 +1,7 @@
 import { COLLECT_SHARE, HOLD_MS, ROOM_TRIES } from '../constants.js';
-import { allowed } from './allowed.js';
-import type { Books, JobState, MachineState, Placement } from './books.js';
+import { isFeasible } from './constraints.js';
+import type { JobState, MachineState, Placement } from './part-records.js';
+import type { PartState } from './part-state.js';
 import type { Limits } from './limits.js';
 import { add, dominantShare, fits, timesIn, type JobSpec, type Resources } from './model.js';
 
@@ -19,7 +20,7 @@
  */
 export class Preemption {
   constructor(
-    private readonly books: Books,
+    private readonly state: PartState,
     private readonly limits: Limits,
   ) {}
 
@@ -30,14 +31,14 @@
    */
   makeRoom(stuck: readonly JobState[], now: number): void {
     const collecting = new Set<string>();
-    let left = Math.floor(this.books.machines.size * COLLECT_SHARE);
+    let left = Math.floor(this.state.machines.size * COLLECT_SHARE);
     let tries = 0;
     const lowest = this.#lowestRank();
     for (const job of stuck) {
       if (tries >= ROOM_TRIES) break;
       if (this.limits.underLimit(job) < 1) continue;
       const mayStop =
-        this.books.settings.preempt && (job.rank > lowest || this.limits.guaranteed(job));
+        this.state.settings.preempt && (job.rank > lowest || this.limits.guaranteed(job));
       if (job.spec.kind !== 'gang') {
         if (!mayStop) continue;
         tries += 1;
@@ -50,14 +51,14 @@
         left -= this.#collect(job, now);
       }
     }
-    for (const m of this.books.machines.values()) {
+    for (const m of this.state.machines.values()) {
       if (m.hold?.partial === true && !collecting.has(m.hold.uid)) m.hold = null;
     }
   }
 
   #lowestRank(): number {
     let lowest = Infinity;
-    for (const job of this.books.jobs.values()) {
+    for (const job of this.state.jobs.values()) {
       if (job.placed.size > 0) lowest = Math.min(lowest, job.rank);
     }
     return lowest;
@@ -87,16 +88,18 @@
    */
   #reserve(job: JobState, tasks: number, mayStop: boolean, now: number): boolean {
     const { uid } = job.spec;
-    const held = [...this.books.machines.values()].filter((m) => m.hold?.uid === uid);
+    const held = [...this.state.machines.values()].filter((m) => m.hold?.uid === uid);
     const firm = held.filter((m) => m.hold?.partial !== true);
     let open = tasks;
     for (const m of firm) open -= timesIn(job.spec.demand, this.#freeAfterStops(m));
     if (open <= 0) return true;
     const zone = job.spec.oneZone ? (firm[0]?.record.zone ?? null) : null;
     const options: Option[] = [];
-    for (const m of this.books.machines.values()) {
+    for (const m of this.state.machines.values()) {
       if (firm.includes(m) || (zone !== null && m.record.zone !== zone)) continue;
-      const option = allowed(this.books, m, job, now) ? this.#option(m, job, mayStop, now) : null;
+      const option = isFeasible(this.state, m, job, now)
+        ? this.#option(m, job, mayStop, now)
+        : null;
       if (option !== null) options.push(option);
     }
     const usable = job.spec.oneZone && zone === null ? inOneZone(options, open) : options;
@@ -105,7 +108,7 @@
     for (const o of usable) {
       if (open <= 0) break;
       o.m.hold = { uid, until: now + HOLD_MS, partial: false };
-      for (const p of o.victims) this.books.requestStop(p, p.job.spec.saveS + 1, now);
+      for (const p of o.victims) this.state.requestStop(p, p.job.spec.saveS + 1, now);
       open -= o.slots;
     }
     return true;
@@ -118,8 +121,9 @@
   #collect(job: JobState, now: number): number {
     const { uid, oneZone, demand } = job.spec;
     const options: (Option & { readonly held: boolean })[] = [];
-    for (const m of this.books.machines.values()) {
-      if (m.type === null || !fits(demand, m.type) || !allowed(this.books, m, job, now)) continue;
+    for (const m of this.state.machines.values()) {
+      if (m.type === null || !fits(demand, m.type) || !isFeasible(this.state, m, job, now))
+        continue;
       const free = fits(demand, m.free);
       const slots = timesIn(demand, free ? m.free : m.type);
       const loss = free ? 0 : this.#busyS(m, now);
@@ -185,7 +189,7 @@
       if (p.stop === null) {
         victims.push(p);
         // In seconds of the whole machine, like the fetch that it is weighed against.
-        loss += this.#loss(p, now) * dominantShare(p.job.spec.demand, m.type ?? this.books.largest);
+        loss += this.#loss(p, now) * dominantShare(p.job.spec.demand, m.type ?? this.state.largest);
       }
     }
     return fits(demand, free) ? { m, slots: 1, victims, loss } : null;
--- a/src/core/reachable-room.ts
+++ b/src/core/reachable-room.ts
@@ -1,4 +1,4 @@
-import type { JobState, MachineState } from './books.js';
+import type { JobState, MachineState } from './part-records.js';
 import { add, timesIn, ZERO, type MachineType, type Resources } from './model.js';
 import { tasksAllowedIn } from './zones.js';
 
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -9,33 +9,33 @@
 import {
   neverSent,
   taskKey,
-  type Books,
   type JobState,
   type MachineState,
   type Placement,
-} from './books.js';
+} from './part-records.js';
+import { type PartState } from './part-state.js';
 import type { JobSpec, Report, ReportedTask } from './model.js';
 
-/** What workers report, taken into the books. */
+/** What workers report, taken into the part's state. */
 export class Reports {
-  constructor(private readonly books: Books) {}
+  constructor(private readonly state: PartState) {}
 
   observe(m: MachineState, report: Report, now: number, direct = false): void {
     if (report.session > m.session && m.session > 0) {
       // The worker's lease ran out: it killed everything it had. If that happened although we have
       // answered all the time, our answers do not arrive.
-      const answered = m.known && now - m.answeredAt < this.books.settings.leaseMs / 2;
-      if (answered && now - m.knownSince > this.books.settings.leaseMs) this.#unheard(m, now);
-      for (const p of [...m.tasks.values()]) this.books.release(p, now);
+      const answered = m.known && now - m.answeredAt < this.state.settings.leaseMs / 2;
+      if (answered && now - m.knownSince > this.state.settings.leaseMs) this.#unheard(m, now);
+      for (const p of [...m.tasks.values()]) this.state.release(p, now);
       m.doubtful.clear();
     }
     m.session = report.session;
     m.counter = report.counter;
     m.address = report.address;
-    m.lastBeatAt = now;
+    m.lastHeartbeatAt = now;
     if (report.noticeS !== null) m.noticeAt ??= now + report.noticeS * 1000;
     else m.noticeAt = null;
-    const complete = report.token === this.books.term;
+    const complete = report.token === this.state.term;
     if (complete) {
       // Whoever renewed this worker's lease under a lower term did so before it saw our token.
       if (!m.known) {
@@ -57,13 +57,13 @@
     if (!complete) return;
     for (const p of [...m.tasks.values()]) {
       if (listed.has(`${p.job.spec.uid}/${p.index}@${p.attempt}`)) continue;
-      if (p.seen) this.books.release(p, now);
+      if (p.seen) this.state.release(p, now);
       else if (!direct && p.sentCounter !== null && report.counter > p.sentCounter) {
         // One report is in flight at a time: this one left after the answer with the start was
         // taken or given up, and the task is not here. The start is lost and may be given again.
         p.sentCounter = null;
         this.#unheard(m, now);
-        if (!p.direct && (p.stop !== null || p.job.over)) this.books.release(p, now);
+        if (!p.direct && (p.stop !== null || p.job.over)) this.state.release(p, now);
       }
     }
     if (m.noticeAt !== null) this.#saveBeforeNotice(m, now);
@@ -71,7 +71,7 @@
 
   #observeTask(m: MachineState, t: ReportedTask, now: number, complete: boolean): void {
     const key = taskKey(t.uid, t.index);
-    const job = this.books.jobs.get(t.uid);
+    const job = this.state.jobs.get(t.uid);
     let p = m.tasks.get(key);
     if (p !== undefined && p.attempt !== t.attempt) p = undefined;
     if (t.state === 'exited') {
@@ -92,7 +92,7 @@
         m.foreign += 1;
         return;
       }
-      p = this.books.place(job, t.index, t.attempt, m, now, 'adopted');
+      p = this.state.place(job, t.index, t.attempt, m, now, 'adopted');
       p.seen = true;
     }
     // An order has had its effect: what we say arrives.
@@ -102,7 +102,7 @@
     p.state = t.state;
     if (t.state === 'running' && before !== 'running') {
       p.runningSince ??= now;
-      this.books.note('running', p, now);
+      this.state.note('running', p, now);
       this.#noteImage(m, p.job.spec);
     } else if (t.state === 'waiting') this.#noteImage(m, p.job.spec);
   }
@@ -111,14 +111,14 @@
   #unheard(m: MachineState, now: number): void {
     m.ignored += 1;
     if (m.ignored < IGNORED_ORDERS) return;
-    m.deafSince ??= now;
+    m.ignoringSince ??= now;
     // Nothing more is to be started there; what never left us goes elsewhere.
-    for (const p of [...m.tasks.values()]) if (neverSent(p)) this.books.release(p, now);
+    for (const p of [...m.tasks.values()]) if (neverSent(p)) this.state.release(p, now);
   }
 
   #heard(m: MachineState): void {
     m.ignored = 0;
-    m.deafSince = null;
+    m.ignoringSince = null;
   }
 
   #noteImage(m: MachineState, spec: JobSpec): void {
@@ -156,7 +156,7 @@
       job.failures = 0;
       if (p !== undefined && p.runningSince !== null) {
         const runS = (now - p.runningSince) / 1000;
-        this.books.finishedRuns.push({ jobClass: job.spec.jobClass, runS });
+        this.state.finishedRuns.push({ jobClass: job.spec.jobClass, runS });
       }
     }
     if (p === undefined) return;
@@ -165,7 +165,7 @@
     if (t.why === 'done' && service) this.#ended(job!, now);
     if (t.why === 'no_room') m.fullUntil = now + FULL_PAUSE_MS;
     if (t.why === 'unknown' && job !== undefined) this.#pause(job, now);
-    this.books.release(p, now, t.saved ? 'saved' : (t.why ?? 'gone'));
+    this.state.release(p, now, t.saved ? 'saved' : (t.why ?? 'gone'));
   }
 
   /**
@@ -199,9 +199,9 @@
     for (const p of m.tasks.values()) {
       const { checkpointS, saveS, kind } = p.job.spec;
       // A replica loses nothing by being stopped; the sooner it is gone, the sooner it runs elsewhere.
-      if (p.stop === null && kind === 'service') this.books.requestStop(p, 0, now);
-      else if (p.stop === null && checkpointS > 0) this.books.requestStop(p, saveS + 1, now);
-      if (neverSent(p)) this.books.release(p, now);
+      if (p.stop === null && kind === 'service') this.state.requestStop(p, 0, now);
+      else if (p.stop === null && checkpointS > 0) this.state.requestStop(p, saveS + 1, now);
+      if (neverSent(p)) this.state.release(p, now);
     }
   }
 }
--- a/src/completions.ts
+++ b/src/parts/completions.ts
@@ -1,14 +1,14 @@
 import type { Logger } from 'pino';
-import type { PlatformConfig } from './config/platform.js';
-import { BATCH_BYTES, PROGRESS_MS, RANGE_MOST, SAVE_MS, SLOT_FILL } from './constants.js';
-import type { JobState } from './core/books.js';
-import { allDone, encodeDone, rangeMost } from './core/jobs.js';
-import type { JobRecord, TaskRange } from './core/model.js';
-import type { Owned } from './keeper.js';
-import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { encodeActive, encodeDoneSlot, key, type DoneSlot } from './state/keys.js';
-import type { Mirror } from './state/mirror.js';
-import type { Condition, Write } from './wire/schemas.js';
+import type { PlatformConfig } from '../config/platform.js';
+import { BATCH_BYTES, PROGRESS_MS, RANGE_MOST, SAVE_MS, SLOT_FILL } from '../constants.js';
+import type { JobState } from '../core/part-records.js';
+import { allDone, encodeDone, rangeMost } from '../core/jobs.js';
+import type { JobRecord, TaskRange } from '../core/model.js';
+import type { Owned } from './part-controller.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import { encodeActive, encodeDoneSlot, key, type DoneSlot } from '../state/keys.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { Condition, Write } from '../wire/schemas.js';
 
 interface Batch {
   readonly when: Condition[];
@@ -33,7 +33,7 @@
   constructor(
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact'>,
-    private readonly mirror: Mirror,
+    private readonly cache: WatchCache,
     private readonly now: () => number,
     private readonly log: Logger,
   ) {}
@@ -45,14 +45,14 @@
     if (batch.writes.length === 0) return;
     owned.saving = true;
     try {
-      const when = [{ key: key.part(index), stamp: owned.stamp }, ...batch.when];
+      const when = [{ key: key.part(index), revision: owned.revision }, ...batch.when];
       const result = await this.client.transact(CALL.completion, when, batch.writes);
       if (result.ok) {
         for (const { uid, indexes } of batch.saved) owned.part.saved(uid, indexes);
         for (const uid of batch.finished) this.log.info({ job: uid, part: index }, 'job done');
-        this.mirror.applyOwn(batch.writes, result.epoch);
+        this.cache.applyOwn(batch.writes, result.epoch);
       }
-      // On a conflict the mirror is behind, and will show what has changed.
+      // On a conflict the cache is behind, and will show what has changed.
     } catch (error) {
       if (!(error instanceof StateTrouble)) throw error;
       this.log.debug({ part: index, error: error.message }, 'completions not saved');
@@ -67,16 +67,16 @@
     const progress: { job: JobState; active: JobRecord; range: TaskRange; whole: boolean }[] = [];
     let bytes = 0;
     for (const job of owned.part.jobs.values()) {
-      const open = job.waiting.length + job.placed.size + job.passing.length > 0;
+      const open = job.waiting.length + job.placed.size + job.transferring.length > 0;
       if (job.over || job.spec.kind === 'service' || (job.unsaved.size === 0 && open)) continue;
       const { uid, tasks } = job.spec;
-      const active = this.mirror.tables['active/'].get(uid);
+      const active = this.cache.tables['active/'].get(uid);
       if (active === undefined) continue;
       const mine = active.value.ranges.filter((r) => r.part === index);
       const bits = open ? null : this.#bits(job, mine);
       const complete =
         bits !== null &&
-        allDone(active.value, (r) => bits.get(r.from) ?? this.mirror.done(r.part, uid, r.from));
+        allDone(active.value, (r) => bits.get(r.from) ?? this.cache.done(r.part, uid, r.from));
       if (!complete) {
         for (const range of mine) {
           const fresh = [...job.unsaved].some((i) => i >= range.from && i < range.to);
@@ -93,7 +93,7 @@
       if (batch.writes.length > 0 && (over || bytes + size > BATCH_BYTES)) continue;
       bytes += size;
       batch.writes.push(...add);
-      batch.when.push({ key: key.active(uid), stamp: active.stamp });
+      batch.when.push({ key: key.active(uid), revision: active.revision });
       batch.finished.push(uid);
       batch.saved.push({ uid, indexes: [...job.unsaved] });
     }
@@ -148,7 +148,7 @@
     const most = rangeMost(valueBytes);
     if (most >= RANGE_MOST) return null;
     for (const { spec, over } of owned.part.jobs.values()) {
-      const active = over ? undefined : this.mirror.tables['active/'].get(spec.uid);
+      const active = over ? undefined : this.cache.tables['active/'].get(spec.uid);
       const long = active?.value.ranges.find((r) => r.part === index && r.to - r.from > most);
       if (active === undefined || long === undefined) continue;
       const middle = long.from + Math.ceil((long.to - long.from - most) / 4) * 4;
@@ -164,10 +164,10 @@
       const value = encodeActive({ ...active.value, ranges });
       if (JSON.stringify(value).length > valueBytes) continue;
       batch.writes.push({ put: key.active(spec.uid), value });
-      batch.when.push({ key: key.active(spec.uid), stamp: active.stamp });
+      batch.when.push({ key: key.active(spec.uid), revision: active.revision });
       // The value may still hold the bitmap of an earlier, longer cut.
       const ends = [middle - long.from, long.to - long.from].map((i) => Math.ceil(i / 4));
-      const bits = this.mirror.done(index, spec.uid, long.from)?.slice(...ends);
+      const bits = this.cache.done(index, spec.uid, long.from)?.slice(...ends);
       if (bits !== undefined && bits.length > 0) {
         const slots = this.#slots(index);
         const name = rangeKey(spec.uid, middle);
@@ -224,7 +224,7 @@
   /** Looked at several times a second, so the size of a value is taken once. */
   #anyTooLarge(index: number): boolean {
     const { valueBytes } = this.config.stateLimits;
-    for (const [id, { value }] of this.mirror.tables['done/']) {
+    for (const [id, { value }] of this.cache.tables['done/']) {
       if (!id.startsWith(`${index}/`)) continue;
       const size = this.#slotSizes.get(value) ?? sizeOf(value);
       this.#slotSizes.set(value, size);
@@ -236,12 +236,12 @@
   #putSlot(batch: Batch, index: number, slot: number, value: DoneSlot): void {
     batch.writes.push({ put: key.done(index, slot), value: encodeDoneSlot(value) });
     // A write without an answer may be carried out after newer ones, and would undo what those saved.
-    const stamp = this.mirror.tables['done/'].get(`${index}/${slot}`)?.stamp ?? 0;
-    batch.when.push({ key: key.done(index, slot), stamp });
+    const revision = this.cache.tables['done/'].get(`${index}/${slot}`)?.revision ?? 0;
+    batch.when.push({ key: key.done(index, slot), revision });
   }
 
   #stored(index: number, slot: number): DoneSlot | undefined {
-    return this.mirror.tables['done/'].get(`${index}/${slot}`)?.value;
+    return this.cache.tables['done/'].get(`${index}/${slot}`)?.value;
   }
 
   /**
@@ -250,14 +250,14 @@
    */
   #slots(index: number): Map<number, Map<string, string>> {
     const out = new Map<number, Map<string, string>>();
-    for (const [id, { value }] of this.mirror.tables['done/']) {
+    for (const [id, { value }] of this.cache.tables['done/']) {
       if (!id.startsWith(`${index}/`)) continue;
       const live = [...value.keys()].flatMap((name): [string, string][] => {
         const uid = name.slice(0, name.lastIndexOf('/'));
         const from = Number(name.slice(name.lastIndexOf('/') + 1));
-        const job = this.mirror.tables['active/'].get(uid);
+        const job = this.cache.tables['active/'].get(uid);
         const range = job?.value.ranges.find((r) => r.part === index && r.from === from);
-        const bits = this.mirror.done(index, uid, from);
+        const bits = this.cache.done(index, uid, from);
         if (range === undefined || bits === undefined) return [];
         return [[name, bits.slice(0, Math.ceil((range.to - from) / 4))]];
       });
--- a/src/machines.ts
+++ b/src/parts/machine-records.ts
@@ -1,12 +1,12 @@
 import type { Logger } from 'pino';
-import type { PlatformConfig } from './config/platform.js';
-import { MACHINES_MS, RETURNED_KEPT } from './constants.js';
-import type { MachineState } from './core/books.js';
-import type { Owned } from './keeper.js';
-import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { encodeGroup, key, type HireRecord, type MachineGroup } from './state/keys.js';
-import type { Mirror } from './state/mirror.js';
-import type { Condition, Write } from './wire/schemas.js';
+import type { PlatformConfig } from '../config/platform.js';
+import { MACHINES_MS, RETURNED_KEPT } from '../constants.js';
+import type { MachineState } from '../core/part-records.js';
+import type { Owned } from './part-controller.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import { encodeGroup, key, type HireRecord, type MachineGroup } from '../state/keys.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { Condition, Write } from '../wire/schemas.js';
 
 /**
  * The machine records of the parts that this node owns. They are kept by group, one group a rental,
@@ -24,8 +24,8 @@
   constructor(
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact'>,
-    private readonly mirror: Mirror,
-    /** resolves once the mirror shows everything that was committed before the call */
+    private readonly cache: WatchCache,
+    /** resolves once the cache shows everything that was committed before the call */
     private readonly current: () => Promise<void>,
     private readonly now: () => number,
     private readonly log: Logger,
@@ -54,9 +54,9 @@
     const changed = this.#changes(index, up);
     if (changed.size === 0) return;
     const writes: Write[] = [];
-    const when: Condition[] = [{ key: key.part(index), stamp: owned.stamp }];
-    for (const [id, { stamp, group }] of changed) {
-      when.push({ key: key.machines(id), stamp });
+    const when: Condition[] = [{ key: key.part(index), revision: owned.revision }];
+    for (const [id, { revision, group }] of changed) {
+      when.push({ key: key.machines(id), revision });
       if (group.hosts.size === 0) writes.push({ drop: key.machines(id) });
       else writes.push({ put: key.machines(id), value: encodeGroup(group) });
     }
@@ -73,28 +73,28 @@
   #changes(
     index: number,
     up: readonly MachineState[],
-  ): Map<string, { stamp: number; group: MachineGroup }> {
+  ): Map<string, { revision: number; group: MachineGroup }> {
     const most = this.config.stateLimits.transactionOps;
     const changed = new Map<
       string,
-      { stamp: number; hosts: Map<string, boolean>; group: MachineGroup }
+      { revision: number; hosts: Map<string, boolean>; group: MachineGroup }
     >();
     const edit = (name: string): Map<string, boolean> | null => {
-      const at = this.mirror.machines.get(name);
+      const at = this.cache.machines.get(name);
       if (at?.value.part !== index) return null;
       let entry = changed.get(at.group);
       if (entry === undefined) {
-        const record = this.mirror.tables['machines/'].get(at.group);
+        const record = this.cache.tables['machines/'].get(at.group);
         if (record === undefined || changed.size >= most) return null;
         const hosts = new Map(record.value.hosts);
-        entry = { stamp: record.stamp, hosts, group: { ...record.value, hosts } };
+        entry = { revision: record.revision, hosts, group: { ...record.value, hosts } };
         changed.set(at.group, entry);
       }
       return entry.hosts;
     };
     for (const m of up) edit(m.record.name)?.set(m.record.name, true);
     for (const name of this.#toDrop) {
-      if (!this.mirror.machines.has(name)) this.#toDrop.delete(name);
+      if (!this.cache.machines.has(name)) this.#toDrop.delete(name);
       else edit(name)?.delete(name);
     }
     return changed;
@@ -110,7 +110,7 @@
     try {
       const cls = urgent ? CALL.completion : CALL.rest;
       const result = await this.client.transact(cls, when, writes);
-      if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+      if (result.ok) this.cache.applyOwn(writes, result.epoch);
       return result.ok;
     } catch (error) {
       if (!(error instanceof StateTrouble)) throw error;
@@ -125,51 +125,51 @@
   /** Records the machines of an answered hire and drops the hire, in one transaction. */
   async hired(owned: Owned, hire: HireRecord, names: readonly string[]): Promise<void> {
     const { part, type, zone, spot } = hire;
-    const fresh = names.filter((n) => !this.mirror.machines.has(n));
+    const fresh = names.filter((n) => !this.cache.machines.has(n));
     const hosts = new Map(fresh.map((n) => [n, false]));
     const group: MachineGroup = { part, era: owned.part.term, type, zone, spot, hosts };
     const writes: Write[] = [{ drop: key.hire(part, hire.name) }];
-    const when: Condition[] = [{ key: key.part(part), stamp: owned.stamp }];
+    const when: Condition[] = [{ key: key.part(part), revision: owned.revision }];
     if (hosts.size > 0) {
       writes.push({ put: key.machines(hire.name), value: encodeGroup(group) });
-      when.push({ key: key.machines(hire.name), stamp: 0 });
-      when.push({ key: key.hire(part, hire.name), stamp: this.#hireStamp(part, hire.name) });
+      when.push({ key: key.machines(hire.name), revision: 0 });
+      when.push({ key: key.hire(part, hire.name), revision: this.#hireRevision(part, hire.name) });
     }
     const result = await this.client.transact(CALL.completion, when, writes);
-    if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+    if (result.ok) this.cache.applyOwn(writes, result.epoch);
   }
 
   #hirePending({ type, zone, spot }: { type: string; zone: string; spot: boolean }): boolean {
-    for (const { value: h } of this.mirror.tables['hires/'].values()) {
+    for (const { value: h } of this.cache.tables['hires/'].values()) {
       if (h.type === type && h.zone === zone && h.spot === spot) return true;
     }
     return false;
   }
 
-  #hireStamp(part: number, name: string): number {
-    return this.mirror.tables['hires/'].get(`${part}/${name}`)?.stamp ?? 0;
+  #hireRevision(part: number, name: string): number {
+    return this.cache.tables['hires/'].get(`${part}/${name}`)?.revision ?? 0;
   }
 
   /**
    * Takes a machine that is in no record into a group of its own. A hire that is not settled may be about
    * to record it for another part, and with two records two owners would have it
    * (docs/incidents/2026-12-02-two-records.md). Every hire is recorded before its call, so once a current
-   * mirror shows neither a hire of the machine's kind nor the machine, none can record it any more.
+   * cache shows neither a hire of the machine's kind nor the machine, none can record it any more.
    */
   async adopt(owned: Owned, machine: Omit<MachineGroup, 'era' | 'hosts'>, name: string) {
     await this.current();
-    if (this.mirror.machines.has(name) || this.#hirePending(machine)) return;
+    if (this.cache.machines.has(name) || this.#hirePending(machine)) return;
     const hosts = new Map([[name, false]]);
     const group: MachineGroup = { ...machine, era: owned.part.term, hosts };
     const id = `found-${name}`;
     const writes: Write[] = [{ put: key.machines(id), value: encodeGroup(group) }];
     const when = [
-      { key: key.part(machine.part), stamp: owned.stamp },
-      { key: key.machines(id), stamp: 0 },
+      { key: key.part(machine.part), revision: owned.revision },
+      { key: key.machines(id), revision: 0 },
     ];
     const result = await this.client.transact(CALL.rest, when, writes);
     if (!result.ok) return;
-    this.mirror.applyOwn(writes, result.epoch);
+    this.cache.applyOwn(writes, result.epoch);
     this.log.info({ machine: name, part: machine.part }, 'machine adopted');
   }
 }
--- a/src/keeper.ts
+++ b/src/parts/part-controller.ts
@@ -1,25 +1,31 @@
 import type { Logger } from 'pino';
-import type { PlatformConfig } from './config/platform.js';
-import type { OperatorConfig } from './config/operator.js';
-import { CLAIM_PAUSE_MS, DEAF_MS, HANDBACK_MS, HANDOVER_SETTLE_MS, LOOP_MS } from './constants.js';
+import type { PlatformConfig } from '../config/platform.js';
+import type { OperatorConfig } from '../config/operator.js';
+import {
+  CLAIM_PAUSE_MS,
+  NO_HEARTBEATS_MS,
+  HANDBACK_MS,
+  HANDOVER_SETTLE_MS,
+  LOOP_MS,
+} from '../constants.js';
 import { Completions } from './completions.js';
-import { renewableMs } from './core/cancellations.js';
-import type { Command, JobSpec, MachineType, Report } from './core/model.js';
-import { Ownership, type OwnershipView } from './core/ownership.js';
-import { Part, type PartSettings, type MachineState, type Placement } from './core/part.js';
-import { MachineRecords } from './machines.js';
-import { Passing } from './passing.js';
-import { shareSockets } from './sockets.js';
-import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { key, type PartRecord } from './state/keys.js';
-import type { NodeLease } from './state/lease.js';
-import type { Mirror } from './state/mirror.js';
-import type { Condition, Write } from './wire/schemas.js';
-import { sendDirect, type BeatReply } from './workers/beats.js';
+import { renewableMs } from '../core/cancellations.js';
+import type { Command, JobSpec, MachineType, Report } from '../core/model.js';
+import { Ownership, type OwnershipView } from '../core/ownership.js';
+import { Part, type PartSettings, type MachineState, type Placement } from '../core/part.js';
+import { MachineRecords } from './machine-records.js';
+import { TaskTransfer } from './task-transfer.js';
+import { shareSockets } from '../sockets.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import { key, type PartRecord } from '../state/keys.js';
+import type { NodeLease } from '../state/lease.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { Condition, Write } from '../wire/schemas.js';
+import { sendDirect, type HeartbeatReply } from '../workers/heartbeats.js';
 
 export interface Owned {
   readonly part: Part;
-  readonly stamp: number;
+  readonly revision: number;
   /** handed over by a transaction whose outcome is not known: we act for the part no more */
   suspended: boolean;
   saving: boolean;
@@ -47,7 +53,7 @@
 }
 
 /** Takes parts, gives them back, and runs the loops of those that this node owns. */
-export class Keeper {
+export class PartController {
   readonly owned = new Map<number, Owned>();
   readonly #ownership = new Ownership();
   /** when parts were given away by a transaction whose outcome is not known */
@@ -57,8 +63,8 @@
   readonly #busy = new Set<number>();
   /** workers of other nodes' parts that came here, with the time */
   readonly sighted = new Map<string, { part: number; at: number }>();
-  #deafUntil = -Infinity;
-  /** the mirror was brought up to date by a call made then, steady ms */
+  #noTakeoverUntil = -Infinity;
+  /** the cache was brought up to date by a call made then, steady ms */
   #currentAt = -Infinity;
   #asking = false;
   /** since when worker leases are left to run out, steady ms */
@@ -69,16 +75,16 @@
   readonly #directMost: number;
   readonly machines: MachineRecords;
   readonly #completions: Completions;
-  readonly #passing: Passing;
+  readonly #transferring: TaskTransfer;
 
   constructor(
     private readonly config: PlatformConfig,
     private readonly operator: OperatorConfig,
     private readonly incarnation: string,
     private readonly client: Pick<StateClient, 'transact' | 'get'>,
-    private readonly mirror: Mirror,
+    private readonly cache: WatchCache,
     private readonly lease: Pick<NodeLease, 'valid' | 'registeredAt' | 'validSince'>,
-    /** resolves once the mirror shows everything that was committed before the call */
+    /** resolves once the cache shows everything that was committed before the call */
     private readonly current: () => Promise<void>,
     private readonly peers: PeerView,
     private readonly types: () => ReadonlyMap<string, MachineType> | null,
@@ -88,12 +94,12 @@
     private readonly log: Logger,
   ) {
     this.#directMost = shareSockets(config.sockets, config.peers.length).direct;
-    this.machines = new MachineRecords(config, client, mirror, current, now, log);
-    this.#completions = new Completions(config, client, mirror, now, log);
-    this.#passing = new Passing(
+    this.machines = new MachineRecords(config, client, cache, current, now, log);
+    this.#completions = new Completions(config, client, cache, now, log);
+    this.#transferring = new TaskTransfer(
       config,
       client,
-      mirror,
+      cache,
       (index, owned) => this.owned.get(index) === owned,
       (spec, not) => this.peers.roomElsewhere(spec, not),
       now,
@@ -101,14 +107,14 @@
     );
   }
 
-  /** Whether this node provably owns what the mirror shows as its own. */
+  /** Whether this node provably owns what the cache shows as its own. */
   authority(now: number): boolean {
     const valid =
-      this.lease.valid(now) && this.mirror.ready && this.mirror.epoch >= this.lease.registeredAt;
+      this.lease.valid(now) && this.cache.ready && this.cache.epoch >= this.lease.registeredAt;
     if (!valid) return false;
     // After an outage the lease lives again before the feed has told what happened: jobs may have been
     // cancelled, and would be started.
-    if (Math.max(this.mirror.currentAt, this.#currentAt) >= this.lease.validSince) return true;
+    if (Math.max(this.cache.currentAt, this.#currentAt) >= this.lease.validSince) return true;
     void this.#askCurrent(now);
     return false;
   }
@@ -133,16 +139,16 @@
   }
 
   termOf(part: number): number | null {
-    return this.mirror.tables['parts/'].get(String(part))?.value.term ?? null;
+    return this.cache.tables['parts/'].get(String(part))?.value.term ?? null;
   }
 
   condition(index: number, owned: Owned): Condition {
-    return { key: key.part(index), stamp: owned.stamp };
+    return { key: key.part(index), revision: owned.revision };
   }
 
   #alive(): Map<string, Set<string>> {
     const alive = new Map<string, Set<string>>();
-    for (const { value } of this.mirror.tables['nodes/'].values()) {
+    for (const { value } of this.cache.tables['nodes/'].values()) {
       const set = alive.get(value.node) ?? new Set();
       set.add(value.incarnation);
       alive.set(value.node, set);
@@ -155,10 +161,10 @@
     return this.#alive().size;
   }
 
-  /** One round: what is owned by the mirror, what should be, and the owned parts' own loops. */
+  /** One round: what is owned by the cache, what should be, and the owned parts' own loops. */
   tick(): void {
     const now = this.now();
-    if (!this.mirror.ready) return;
+    if (!this.cache.ready) return;
     this.#refresh(now);
     const authority = this.authority(now);
     if (authority && now - this.#lastOwn >= LOOP_MS) {
@@ -176,16 +182,16 @@
       part.placeAll(now);
       this.#direct(owned, now);
       void this.machines.tick(index, owned, now);
-      this.#passing.passStuck(index, owned, now);
+      this.#transferring.transferStuck(index, owned, now);
       void this.#completions.save(index, owned, now);
     }
   }
 
   #refresh(now: number): void {
     const types = this.types();
-    const changes = this.mirror.takeChanges();
+    const changes = this.cache.takeChanges();
     for (let index = 0; index < this.config.nodes; index++) {
-      const record = this.mirror.tables['parts/'].get(String(index));
+      const record = this.cache.tables['parts/'].get(String(index));
       const mine =
         record !== undefined &&
         record.value.owner === this.config.node &&
@@ -206,7 +212,7 @@
           continue;
         }
         // Everything that earlier owners knew must be known here first.
-        if (types === null || this.mirror.epoch < record.stamp) continue;
+        if (types === null || this.cache.epoch < record.revision) continue;
         this.#built.set(index, record.value.term);
         const part = new Part(index, record.value.term, {
           reportMs: this.config.workers.reportS * 1000,
@@ -220,7 +226,7 @@
         });
         this.owned.set(index, {
           part,
-          stamp: record.stamp,
+          revision: record.revision,
           suspended: false,
           saving: false,
           lastSave: now,
@@ -236,15 +242,15 @@
         continue;
       }
       const everything = present.fresh || changes.all;
-      const { unsynced } = present.part.books;
+      const { unsynced } = present.part.state;
       const changed = changes.machines || changes.jobs.size > 0 || unsynced.size > 0;
       if (!everything && !changed) continue;
       present.fresh = false;
       present.part.sync(
         {
-          jobs: this.mirror.tables['active/'],
-          done: (uid, from) => this.mirror.done(index, uid, from),
-          machines: this.mirror.machines,
+          jobs: this.cache.tables['active/'],
+          done: (uid, from) => this.cache.done(index, uid, from),
+          machines: this.cache.machines,
         },
         now,
         this.nowOfDay(),
@@ -257,7 +263,7 @@
 
   #ownParts(now: number): void {
     const parts = new Map<number, PartRecord>();
-    for (const [id, { value }] of this.mirror.tables['parts/']) parts.set(Number(id), value);
+    for (const [id, { value }] of this.cache.tables['parts/']) parts.set(Number(id), value);
     const view: OwnershipView = {
       me: this.config.node,
       incarnation: this.incarnation,
@@ -268,7 +274,7 @@
     };
     for (const step of this.#ownership.steps(view, now, (n) => this.peers.fit(n))) {
       if (step.kind === 'take') {
-        if (now >= this.#deafUntil || !parts.has(step.part)) void this.#take(step.part);
+        if (now >= this.#noTakeoverUntil || !parts.has(step.part)) void this.#take(step.part);
       } else if (!this.#given.has(step.part)) void this.#give(step.part, step.to, step.incarnation);
     }
     for (const [index, at] of this.#given) {
@@ -277,18 +283,18 @@
       if (now - at > HANDOVER_SETTLE_MS) void this.#take(index);
     }
     for (const [index, { part, suspended }] of this.owned) {
-      if (!suspended) this.#handOverIfDeaf(index, part, now);
+      if (!suspended) this.#handOverIfCutOff(index, part, now);
     }
   }
 
   /** Cut off from the workers alone: a node that hears them should own their part. */
-  #handOverIfDeaf(index: number, part: Part, now: number): void {
+  #handOverIfCutOff(index: number, part: Part, now: number): void {
     const known = [...part.machines.values()].filter((m) => m.everKnown && !m.returning);
-    if (known.length === 0 || known.some((m) => now - m.lastBeatAt < DEAF_MS)) return;
+    if (known.length === 0 || known.some((m) => now - m.lastHeartbeatAt < NO_HEARTBEATS_MS)) return;
     const to = this.peers.hears(index);
     const incarnation = to === null ? null : this.peers.fit(to);
     if (to === null || incarnation === null) return;
-    this.#deafUntil = now + HANDBACK_MS * 2;
+    this.#noTakeoverUntil = now + HANDBACK_MS * 2;
     this.log.info({ part: index, to }, 'no worker of the part reports here, but they do elsewhere');
     void this.#give(index, to, incarnation);
   }
@@ -307,15 +313,15 @@
   }
 
   #ownerWrite(index: number, owner: string, incarnation: string): [Condition[], Write[]] {
-    const term = this.mirror.tables.term.get('');
-    const old = this.mirror.tables['parts/'].get(String(index));
+    const term = this.cache.tables.term.get('');
+    const old = this.cache.tables['parts/'].get(String(index));
     const next = (term?.value ?? 0) + 1;
     const when: Condition[] = [
-      { key: key.term, stamp: term?.stamp ?? 0 },
-      { key: key.part(index), stamp: old?.stamp ?? 0 },
+      { key: key.term, revision: term?.revision ?? 0 },
+      { key: key.part(index), revision: old?.revision ?? 0 },
     ];
     if (old !== undefined && old.value.owner !== this.config.node) {
-      when.push({ key: key.node(old.value.owner, old.value.incarnation), stamp: 0 });
+      when.push({ key: key.node(old.value.owner, old.value.incarnation), revision: 0 });
     }
     const value: PartRecord = { owner, incarnation, term: next };
     return [
@@ -333,7 +339,7 @@
       const result = await this.client.transact(CALL.renew, when, writes);
       if (!result.ok) return;
       this.#given.delete(index);
-      this.mirror.applyOwn(writes, result.epoch);
+      this.cache.applyOwn(writes, result.epoch);
       this.log.info({ part: index }, 'part taken');
     });
   }
@@ -343,7 +349,7 @@
       const owned = this.owned.get(index);
       if (owned === undefined || owned.suspended) return;
       const [when, writes] = this.#ownerWrite(index, to, incarnation);
-      when.push({ key: key.node(to, incarnation), stamp: this.#nodeStamp(to, incarnation) });
+      when.push({ key: key.node(to, incarnation), revision: this.#nodeRevision(to, incarnation) });
       // From here on we act for the part no more, whatever becomes of the transaction.
       owned.suspended = true;
       this.#given.set(index, this.now());
@@ -351,22 +357,22 @@
       this.#given.delete(index);
       if (result.ok) {
         this.#ownership.handedOver(index);
-        this.mirror.applyOwn(writes, result.epoch);
+        this.cache.applyOwn(writes, result.epoch);
         this.log.info({ part: index, to }, 'part handed over');
       } else owned.suspended = false;
     });
   }
 
-  #nodeStamp(node: string, incarnation: string): number {
-    return this.mirror.tables['nodes/'].get(`${node}/${incarnation}`)?.stamp ?? 0;
+  #nodeRevision(node: string, incarnation: string): number {
+    return this.cache.tables['nodes/'].get(`${node}/${incarnation}`)?.revision ?? 0;
   }
 
   // --- workers -----------------------------------------------------------------------------------
 
-  beat(report: Report): BeatReply {
+  beat(report: Report): HeartbeatReply {
     const now = this.now();
-    if (!this.mirror.ready) return { kind: 'unavailable' };
-    const record = this.mirror.machines.get(report.machine)?.value;
+    if (!this.cache.ready) return { kind: 'unavailable' };
+    const record = this.cache.machines.get(report.machine)?.value;
     if (record === undefined) return { kind: 'unavailable' };
     const owned = this.owned.get(record.part);
     if (owned === undefined || owned.suspended) return this.#sendOn(report, record.part, now);
@@ -409,8 +415,8 @@
     return may;
   }
 
-  #sendOn(report: Report, part: number, now: number): BeatReply {
-    const owner = this.mirror.tables['parts/'].get(String(part))?.value;
+  #sendOn(report: Report, part: number, now: number): HeartbeatReply {
+    const owner = this.cache.tables['parts/'].get(String(part))?.value;
     if (owner === undefined) return { kind: 'unavailable' };
     const me = owner.owner === this.config.node;
     if (!me) this.sighted.set(report.machine, { part, at: now });
@@ -434,7 +440,7 @@
     for (const { machine, commands, starts } of part.directCommands(now, room(), true)) {
       void this.#command(part, machine, commands, starts);
     }
-    for (const m of part.unknownMachines()) {
+    for (const m of part.machinesToProbe()) {
       // The rest is told in the next round, or by the answer to its own report.
       if (room() <= 0) break;
       if (m.address === null || owned.claiming.has(m.record.name)) continue;
--- a/src/rentals.ts
+++ b/src/parts/rentals.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'pino';
-import type { OperatorConfig } from './config/operator.js';
-import type { PlatformConfig } from './config/platform.js';
+import type { OperatorConfig } from '../config/operator.js';
+import type { PlatformConfig } from '../config/platform.js';
 import {
   ADOPT_MS,
   GROUP_BYTES,
@@ -12,17 +12,17 @@
   RENT_RETRY_MS,
   RETURN_MOST,
   SUMMARY_MS,
-} from './constants.js';
-import { CloudTrouble, type CloudClient } from './cloud/client.js';
-import { planCapacity } from './core/capacity.js';
-import { partOfMachine } from './core/jobs.js';
-import type { Learning } from './core/learning.js';
-import type { JobSpec, MachineType, Report } from './core/model.js';
-import type { Keeper, Owned } from './keeper.js';
-import { CALL, StateTrouble, type StateClient } from './state/client.js';
-import { key, type HireRecord } from './state/keys.js';
-import type { Mirror } from './state/mirror.js';
-import type { ListedMachine, Write } from './wire/schemas.js';
+} from '../constants.js';
+import { CloudTrouble, type CloudClient } from '../cloud/client.js';
+import { planCapacity } from '../core/capacity.js';
+import { partOfMachine } from '../core/jobs.js';
+import type { Learning } from '../core/learning.js';
+import type { JobSpec, MachineType, Report } from '../core/model.js';
+import type { PartController, Owned } from './part-controller.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import { key, type HireRecord } from '../state/keys.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { ListedMachine, Write } from '../wire/schemas.js';
 
 type Wish = { type: string; zone: string; spot: boolean; count: number };
 
@@ -50,8 +50,8 @@
     private readonly incarnation: string,
     private readonly cloud: CloudClient,
     private readonly client: StateClient,
-    private readonly mirror: Mirror,
-    private readonly keeper: Keeper,
+    private readonly cache: WatchCache,
+    private readonly partController: PartController,
     private readonly learning: Learning,
     private readonly elsewhere: (part: number) => ReadonlyMap<string, number>,
     /** jobs that will be submitted again here or elsewhere */
@@ -68,8 +68,8 @@
   tick(): void {
     const now = this.now();
     const types = this.types();
-    if (types === null || !this.keeper.authority(now)) return;
-    for (const [index, owned] of this.keeper.owned) {
+    if (types === null || !this.partController.authority(now)) return;
+    for (const [index, owned] of this.partController.owned) {
       if (owned.suspended) continue;
       for (const m of owned.part.machines.values()) {
         m.address ??= this.addresses.get(m.record.name) ?? null;
@@ -77,16 +77,16 @@
       this.#hires(index, owned);
     }
     const listMs = Math.max(LIST_MS, this.cloud.listEveryMs());
-    if (now - this.#lastList > listMs && this.keeper.owned.size > 0) void this.#list();
+    if (now - this.#lastList > listMs && this.partController.owned.size > 0) void this.#list();
     if (now - this.#lastPlan < RENT_MS) return;
     this.#lastPlan = now;
-    for (const [index, owned] of this.keeper.owned) {
+    for (const [index, owned] of this.partController.owned) {
       if (!owned.suspended) this.#plan(index, owned, types, now);
     }
   }
 
   #plan(index: number, owned: Owned, types: ReadonlyMap<string, MachineType>, now: number): void {
-    const pending = [...this.mirror.tables['hires/'].values()]
+    const pending = [...this.cache.tables['hires/'].values()]
       .map((h) => h.value)
       .filter((h) => h.part === index);
     if (this.#planning.has(index)) return;
@@ -98,7 +98,7 @@
       objectives: this.config.objectives,
       stats: this.learning.stats(this.nowOfDay() / 1000),
       elsewhere: this.elsewhere(index),
-      expected: index === [...this.keeper.owned.keys()][0] ? this.expected() : [],
+      expected: index === [...this.partController.owned.keys()][0] ? this.expected() : [],
       pending,
       refused: (type, zone, spot) => (this.#refused.get(`${type} ${zone} ${spot}`) ?? 0) > now,
       reserveSigma: this.operator.reserveSigma,
@@ -158,16 +158,16 @@
         const name = `${this.config.node}-${this.incarnation}-${this.#sequence}`;
         return { put: key.hire(part, name), value: wish };
       });
-      const when = [this.keeper.condition(part, owned)];
+      const when = [this.partController.condition(part, owned)];
       const result = await this.client.transact(CALL.completion, when, writes);
-      if (result.ok) this.mirror.applyOwn(writes, result.epoch);
+      if (result.ok) this.cache.applyOwn(writes, result.epoch);
     });
     this.#planning.delete(part);
     this.#hires(part, owned);
   }
 
   #hires(index: number, owned: Owned): void {
-    for (const { value: hire } of this.mirror.tables['hires/'].values()) {
+    for (const { value: hire } of this.cache.tables['hires/'].values()) {
       if (hire.part !== index || this.#renting.has(hire.name)) continue;
       this.#renting.add(hire.name);
       void this.#guard('rental not answered', () => this.#rent(owned, hire)).finally(() => {
@@ -178,7 +178,7 @@
 
   async #rent(owned: Owned, hire: HireRecord): Promise<void> {
     const result = await this.cloud.rent({ request: hire.name, ...hire }, () =>
-      this.keeper.actsFor(owned),
+      this.partController.actsFor(owned),
     );
     const where = { type: hire.type, zone: hire.zone, spot: hire.spot, part: hire.part };
     if (result.kind !== 'rented') {
@@ -187,7 +187,7 @@
       if (result.kind === 'malformed')
         this.log.error({ ...where, answer: result.answer }, 'rental');
       else this.log.info(where, 'no capacity');
-      await this.keeper.machines.hired(owned, hire, []);
+      await this.partController.machines.hired(owned, hire, []);
       return;
     }
     this.log.info({ ...where, machines: result.machines.length }, 'machines rented');
@@ -195,7 +195,7 @@
       const until = this.now() + NO_CAPACITY_MS;
       this.#refused.set(`${hire.type} ${hire.zone} ${hire.spot}`, until);
     }
-    await this.keeper.machines.hired(owned, hire, result.machines);
+    await this.partController.machines.hired(owned, hire, result.machines);
   }
 
   // --- returning ---------------------------------------------------------------------------------
@@ -205,9 +205,9 @@
       const some = names.slice(at, at + RETURN_MOST);
       for (const n of some) this.#returning.add(n);
       await this.#guard('return not answered', async () => {
-        await this.cloud.giveBack(some, () => this.keeper.actsFor(owned));
+        await this.cloud.giveBack(some, () => this.partController.actsFor(owned));
         for (const n of some) owned.part.machineGone(n, this.now());
-        this.keeper.machines.returned(some);
+        this.partController.machines.returned(some);
       });
       for (const n of some) this.#returning.delete(n);
     }
@@ -233,10 +233,10 @@
     const settled = ADOPT_MS + this.config.cloudLimits.listLagS * 3000;
     for (const m of list) {
       if (m.address !== null) this.addresses.set(m.name, m.address);
-      const record = this.mirror.machines.get(m.name)?.value;
+      const record = this.cache.machines.get(m.name)?.value;
       if (record !== undefined) {
         this.#unrecorded.delete(m.name);
-        const state = this.keeper.owned.get(record.part)?.part.machines.get(m.name);
+        const state = this.partController.owned.get(record.part)?.part.machines.get(m.name);
         if (m.status === 'failed' && state !== undefined && !state.returning) {
           state.returning = true;
           this.log.info({ machine: m.name, part: record.part }, 'machine failed');
@@ -247,7 +247,7 @@
       const since = this.#unrecorded.get(m.name) ?? now;
       this.#unrecorded.set(m.name, since);
       const part = partOfMachine(m.name, this.config.nodes);
-      if (now - since > settled && this.keeper.owned.has(part)) {
+      if (now - since > settled && this.partController.owned.has(part)) {
         void this.#adopt(part, m.name, m.type, m.zone, m.spot);
       }
     }
@@ -260,7 +260,7 @@
   sighted(report: Report): void {
     const now = this.now();
     const name = report.machine;
-    if (this.mirror.machines.has(name) || this.keeper.machines.isReturned(name)) return;
+    if (this.cache.machines.has(name) || this.partController.machines.isReturned(name)) return;
     if (!this.#unrecorded.has(name)) this.#lastList = Math.min(this.#lastList, now - LIST_MS / 2);
   }
 
@@ -271,12 +271,12 @@
     zone: string,
     spot: boolean,
   ): Promise<void> {
-    const owned = this.keeper.owned.get(part);
+    const owned = this.partController.owned.get(part);
     if (owned === undefined || this.#adopting.has(name)) return;
-    if (this.keeper.machines.isReturned(name)) return;
+    if (this.partController.machines.isReturned(name)) return;
     this.#adopting.add(name);
     await this.#guard('machine not adopted', () =>
-      this.keeper.machines.adopt(owned, { part, type, zone, spot }, name),
+      this.partController.machines.adopt(owned, { part, type, zone, spot }, name),
     );
     this.#adopting.delete(name);
   }
--- /dev/null
+++ b/src/peers/part-directory.ts
@@ -0,0 +1,203 @@
+import { UNKNOWN_LOAD } from '../constants.js';
+import type { PartLoad } from '../core/jobs.js';
+import { fits, PRIORITY_RANK, timesIn, type JobSpec, type Resources } from '../core/model.js';
+import type { MachineState, Part } from '../core/part.js';
+import type { PeerStatus, RoomStatus } from './frames.js';
+
+/**
+ * What this node knows of all parts: its own from their state, the others from what their owners said
+ * last. Everything here may be some seconds old and is only used to route and to plan, never to decide
+ * whether a task may start.
+ */
+
+/** The other nodes' last messages. */
+export interface PeerStatuses {
+  /** of every node heard of lately */
+  heard(): readonly PeerStatus[];
+  /** of every node, however old */
+  latest(): readonly PeerStatus[];
+  /** of the nodes in touch now */
+  fresh(): readonly PeerStatus[];
+}
+
+type OwnedParts = ReadonlyMap<number, { readonly part: Part }>;
+
+/** All ranks, the lowest first. */
+const RANKS = Object.values(PRIORITY_RANK).sort((a, b) => a - b);
+
+const roomFits = (spec: JobSpec, room: RoomStatus): boolean =>
+  fits(spec.demand, room) &&
+  PRIORITY_RANK[spec.priority] >= room.rank &&
+  (spec.types === null || spec.types.includes(room.type)) &&
+  (spec.zone === null || spec.zone === room.zone) &&
+  (!room.spot || spec.spot);
+
+/** Machines with room, those alike put together: after a boot wave there are a hundred of them. */
+const roomsOf = (part: Part, now: number): RoomStatus[] => {
+  const out = new Map<string, RoomStatus>();
+  const note = (machine: MachineState, free: Resources, rank: number) => {
+    const { type, zone, spot } = machine.record;
+    const { cpus, gpus, memoryGb } = free;
+    const alike = `${type} ${zone} ${spot} ${rank} ${cpus} ${gpus} ${memoryGb}`;
+    const known = out.get(alike);
+    if (known === undefined) {
+      const images = [...machine.images.keys()];
+      out.set(alike, { cpus, gpus, memoryGb, type, zone, spot, rank, count: 1, images });
+      return;
+    }
+    known.count += 1;
+    for (const image of machine.images.keys()) {
+      if (!known.images.includes(image)) known.images.push(image);
+    }
+  };
+  for (const machine of part.rooms(now)) note(machine, machine.free, 0);
+  for (const { m, rank } of part.displaceable(now)) if (m.type !== null) note(m, m.type, rank);
+  return [...out.values()];
+};
+
+/** Loads, room and progress of all parts. */
+export class PartDirectory {
+  /** the loads of our own parts as last told to the others */
+  readonly #toldLoads = new Map<number, number[]>();
+
+  constructor(
+    private readonly parts: number,
+    private readonly owned: () => OwnedParts,
+    private readonly peers: PeerStatuses,
+    private readonly now: () => number,
+  ) {}
+
+  #own(part: number): Part | undefined {
+    return this.owned().get(part)?.part;
+  }
+
+  #told(part: number): PeerStatus['parts'][number] | undefined {
+    return this.peers
+      .heard()
+      .flatMap((s) => s.parts)
+      .find((p) => p.part === part);
+  }
+
+  #rooms(part: number): readonly RoomStatus[] {
+    const own = this.#own(part);
+    return own === undefined ? (this.#told(part)?.rooms ?? []) : roomsOf(own, this.now());
+  }
+
+  /** What the others are told of one of this node's parts; `detailed` adds its machines' images. */
+  describe(index: number, part: Part, detailed: boolean): PeerStatus['parts'][number] {
+    const now = this.now();
+    const images = [...(detailed ? part.machines.values() : [])]
+      .filter((m) => m.images.size > 0)
+      .map((m) => ({
+        machine: m.record.name,
+        images: [...m.images.keys()],
+        gb: [...m.images.values()],
+      }));
+    const loads = RANKS.flatMap((rank) => [
+      part.load(rank, false, now),
+      part.load(rank, true, now),
+    ]);
+    this.#toldLoads.set(index, loads);
+    const waiting = RANKS.map((rank) => part.waiting(rank));
+    return {
+      part: index,
+      loads,
+      rooms: roomsOf(part, now),
+      waiting,
+      images,
+      busy: part.busy(),
+    };
+  }
+
+  /** The load of every part for the job, and whether it would find room there now. */
+  loads(spec: JobSpec): PartLoad[] {
+    const rank = PRIORITY_RANK[spec.priority];
+    const out: PartLoad[] = [];
+    for (let part = 0; part < this.parts; part++) {
+      const own = this.#own(part);
+      // Our own figures are as old as those of the others, at most a second: submissions are many.
+      const loads = own === undefined ? this.#told(part)?.loads : this.#toldLoads.get(part);
+      const load = loads?.[rank * 2 + Number(spec.spot)] ?? UNKNOWN_LOAD;
+      const fitting = this.#rooms(part).filter((r) => r.rank === 0 && roomFits(spec, r));
+      const hasImage = fitting.some((r) => r.images.includes(spec.image));
+      out.push({ part, load, fitsNow: fitting.length > 0, hasImage });
+    }
+    return out;
+  }
+
+  /** The part other than `not` with room for the job, rather one that holds its image. */
+  roomElsewhere(spec: JobSpec, not: number): { part: number; tasks: number } | null {
+    const rank = PRIORITY_RANK[spec.priority];
+    let best: { part: number; tasks: number; image: boolean } | null = null;
+    for (let part = 0; part < this.parts; part++) {
+      if (part === not) continue;
+      // A part with tasks of its own waiting, of this rank or above, has no room to offer.
+      const own = this.#own(part);
+      const waiting =
+        own === undefined ? (this.#told(part)?.waiting[rank] ?? 1) : own.waiting(rank);
+      if (waiting > 0) continue;
+      const rooms = this.#rooms(part).filter((r) => roomFits(spec, r));
+      const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r) * r.count, 0);
+      const image = rooms.some((r) => r.images.includes(spec.image));
+      if (tasks === 0) continue;
+      if (best === null || (image && !best.image)) best = { part, tasks, image };
+    }
+    return best;
+  }
+
+  /** Tasks of each class, waiting or placed, in all parts but one. */
+  busyElsewhere(not: number): Map<string, number> {
+    const out = new Map<string, number>();
+    for (let part = 0; part < this.parts; part++) {
+      if (part === not) continue;
+      for (const { jobClass, tasks } of this.#own(part)?.busy() ?? this.#told(part)?.busy ?? []) {
+        out.set(jobClass, (out.get(jobClass) ?? 0) + tasks);
+      }
+    }
+    return out;
+  }
+
+  /** Counts of a job's tasks that are done and that run, for display. */
+  progress(uid: string): { done: number; running: number } {
+    let done = 0;
+    let running = 0;
+    for (const { part } of this.owned().values()) {
+      const counts = progressIn(part, uid);
+      done += counts.done;
+      running += counts.running;
+    }
+    for (const job of this.peers.heard().flatMap((s) => s.jobs)) {
+      if (job.uid !== uid || this.owned().has(job.part)) continue;
+      done += job.done;
+      running += job.running;
+    }
+    return { done, running };
+  }
+
+  /** Images that another owner knew on a machine, with their sizes. */
+  imagesOf(machine: string): ReadonlyMap<string, number> {
+    for (const { images } of this.peers.latest().flatMap((s) => s.parts)) {
+      const known = images.find((i) => i.machine === machine);
+      if (known !== undefined) return new Map(known.images.map((n, i) => [n, known.gb[i] ?? 0]));
+    }
+    return new Map();
+  }
+
+  /** The node in touch to which most workers of the part report. */
+  hearsMost(part: number): string | null {
+    let best: { node: string; workers: number } | null = null;
+    for (const s of this.peers.fresh()) {
+      const workers = s.sightings.find((x) => x.part === part)?.workers ?? 0;
+      if (workers > (best?.workers ?? 0)) best = { node: s.node, workers };
+    }
+    return best?.node ?? null;
+  }
+}
+
+/** Tasks of a job in one part that are done, saved or not, and that run. */
+export const progressIn = (part: Part, uid: string): { done: number; running: number } => {
+  const job = part.jobs.get(uid);
+  if (job === undefined) return { done: 0, running: 0 };
+  const running = [...job.placed.values()].filter((p) => p.state === 'running').length;
+  return { done: job.saved.size + job.unsaved.size, running };
+};
--- /dev/null
+++ b/src/service/limit-sharing.ts
@@ -0,0 +1,44 @@
+import type { CloudClient } from '../cloud/client.js';
+import type { OperatorConfig } from '../config/operator.js';
+import type { PlatformConfig } from '../config/platform.js';
+import type { StateClient, StateLimits } from '../state/client.js';
+
+type Config = Pick<PlatformConfig, 'nodes' | 'stateLimits' | 'cloudLimits'>;
+type Shares = Pick<OperatorConfig, 'stateRequestShare' | 'stateWriteShare' | 'cloudRequestShare'>;
+
+/** One node's share of the state service's limits when so many nodes live. */
+export const stateShare = (config: Config, shares: Shares, nodes: number): StateLimits => {
+  const { rps, writeRps, next } = config.stateLimits;
+  const share = (l: { rps: number; writeRps: number }) => ({
+    rps: (l.rps * shares.stateRequestShare) / nodes,
+    writeRps: (l.writeRps * shares.stateWriteShare) / nodes,
+  });
+  return { ...share({ rps, writeRps }), next: share(next) };
+};
+
+/** One node's share of the cloud's requests a second. */
+export const cloudShare = (config: Config, shares: Shares, nodes: number): number =>
+  (config.cloudLimits.rps * shares.cloudRequestShare) / nodes;
+
+/** The limits of state service and cloud are for all nodes together: those that live share them. */
+export class LimitSharing {
+  #nodes: number;
+
+  constructor(
+    private readonly config: Config,
+    private readonly shares: Shares,
+    private readonly state: Pick<StateClient, 'setLimits'>,
+    private readonly cloud: Pick<CloudClient, 'setRate'>,
+  ) {
+    this.#nodes = config.nodes;
+  }
+
+  /** Sets the rates of both clients anew if the number of living nodes has changed. */
+  update(living: number): void {
+    const nodes = Math.min(this.config.nodes, Math.max(1, living));
+    if (nodes === this.#nodes) return;
+    this.#nodes = nodes;
+    this.state.setLimits(stateShare(this.config, this.shares, nodes));
+    this.cloud.setRate(cloudShare(this.config, this.shares, nodes));
+  }
+}
--- /dev/null
+++ b/src/service/readiness.ts
@@ -0,0 +1,35 @@
+import { CUT_OFF_MS, READY_GRACE_MS } from '../constants.js';
+
+/** What readiness depends on, as of one look. */
+export interface Surroundings {
+  /** the state service answers this node */
+  readonly stateUp: boolean;
+  /** another node in touch has state */
+  readonly peerHasState: boolean;
+  /** there are other nodes, and none of them is in touch */
+  readonly noPeerInTouch: boolean;
+}
+
+/**
+ * Whether the load balancer should send users here. Without state that is only so if no reachable node
+ * has any: in an outage all stay, rather than leave the load balancer with nobody.
+ */
+export class Readiness {
+  #aloneWithoutStateSince: number | null = null;
+  #cutOffSince: number | null = null;
+
+  /** Notes since when this node alone has been without state, or without state and anybody else. */
+  observe({ stateUp, peerHasState, noPeerInTouch }: Surroundings, now: number): void {
+    const alone = !stateUp && peerHasState;
+    this.#aloneWithoutStateSince = alone ? (this.#aloneWithoutStateSince ?? now) : null;
+    const cutOff = !stateUp && noPeerInTouch;
+    this.#cutOffSince = cutOff ? (this.#cutOffSince ?? now) : null;
+  }
+
+  /** True unless one of the two has lasted too long. */
+  ready(now: number): boolean {
+    if (this.#cutOffSince !== null && now - this.#cutOffSince >= CUT_OFF_MS) return false;
+    const since = this.#aloneWithoutStateSince;
+    return since === null || now - since < READY_GRACE_MS;
+  }
+}
--- /dev/null
+++ b/src/service/summary.ts
@@ -0,0 +1,73 @@
+import hdr from 'hdr-histogram-js';
+import type { Logger } from 'pino';
+import type { Part } from '../core/part.js';
+
+const MEBIBYTE = 2 ** 20;
+/** ms; acceptances that take longer count as this long */
+const LONGEST_MS = 60_000;
+
+/** The figures of one part in the summary line. */
+const summaryOf = (index: number, part: Part) => {
+  let waiting = 0;
+  let placed = 0;
+  for (const job of part.jobs.values()) {
+    waiting += job.waiting.length;
+    placed += job.placed.size;
+  }
+  const machines = [...part.machines.values()];
+  const known = machines.filter((m) => m.known);
+  const idle = known.filter((m) => m.tasks.size === 0).length;
+  return {
+    part: index,
+    term: part.term,
+    waiting,
+    placed,
+    machines: machines.length,
+    up: known.length,
+    idle,
+  };
+};
+
+/** Counts what the periodic `summary` line of the log says. */
+export class Summary {
+  readonly #acceptMs = hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: LONGEST_MS,
+  });
+  #connectionsDropped = 0;
+
+  constructor(private readonly log: Logger) {}
+
+  /** A submission was accepted after so long. */
+  accepted(ms: number): void {
+    this.#acceptMs.recordValue(Math.max(1, Math.round(ms)));
+  }
+
+  /** A connection was closed at once for want of sockets. */
+  connectionDropped(): void {
+    this.#connectionsDropped += 1;
+  }
+
+  /** Writes the line and begins to count anew. */
+  write(
+    parts: ReadonlyMap<number, { readonly part: Part }>,
+    activeJobs: number,
+    stateUp: boolean,
+  ): void {
+    const percentile = (p: number) => this.#acceptMs.getValueAtPercentile(p);
+    const count = this.#acceptMs.totalCount;
+    this.log.info(
+      {
+        parts: [...parts].map(([index, { part }]) => summaryOf(index, part)),
+        active: activeJobs,
+        state: stateUp,
+        acceptMs: { p50: percentile(50), p99: percentile(99), count },
+        connectionsDropped: this.#connectionsDropped,
+        rssMb: Math.round(process.memoryUsage.rss() / MEBIBYTE),
+      },
+      'summary',
+    );
+    this.#acceptMs.reset();
+    this.#connectionsDropped = 0;
+  }
+}
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -51,7 +51,7 @@
 export interface Entry {
   readonly key: string;
   readonly value: unknown;
-  readonly stamp: number;
+  readonly revision: number;
 }
 export interface Page {
   readonly entries: readonly Entry[];
@@ -64,7 +64,7 @@
   | { readonly ok: false; readonly failed: readonly string[] };
 export interface Change {
   readonly key: string;
-  readonly stamp: number;
+  readonly revision: number;
   /** undefined: removed */
   readonly value: unknown;
   readonly removed: boolean;
@@ -231,7 +231,7 @@
     const a = await this.#call(cls, 'GET', `/store/${key}`);
     if (a.status === 404) return { missing: true, epoch: missing.parse(a.body).Epoch };
     const e = entry.parse(a.body);
-    return { key: e.K, value: e.Value, stamp: e.Stamp };
+    return { key: e.K, value: e.Value, revision: e.Stamp };
   }
 
   async list(prefix: string, since: string | null, limit: number): Promise<Page> {
@@ -240,7 +240,7 @@
     const a = await this.#call(CALL.feed, 'GET', path);
     const page = entries.parse(a.body);
     return {
-      entries: page.Entries.map((e) => ({ key: e.K, value: e.Value, stamp: e.Stamp })),
+      entries: page.Entries.map((e) => ({ key: e.K, value: e.Value, revision: e.Stamp })),
       more: page.Truncated ?? false,
       epoch: page.Epoch,
     };
@@ -310,7 +310,7 @@
     const n = news.parse(a.body);
     const changes: Change[] = n.News.map((c) => {
       const removed = c.Drop !== undefined && c.Drop !== null;
-      return { key: (removed ? c.Drop : c.Put) ?? '', stamp: c.Stamp, value: c.Value, removed };
+      return { key: (removed ? c.Drop : c.Put) ?? '', revision: c.Stamp, value: c.Value, removed };
     });
     return { epoch: n.Epoch, changes };
   }
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -12,7 +12,7 @@
 /** Names and values of everything that the service keeps in the state service. */
 
 export const FINAL = 'final/';
-export const MIRRORED = [
+export const CACHED_PREFIXES = [
   'parts/',
   'nodes/',
   'machines/',
@@ -21,10 +21,10 @@
   'done/',
   'term',
 ] as const;
-export type Prefix = (typeof MIRRORED)[number];
+export type Prefix = (typeof CACHED_PREFIXES)[number];
 
 export const prefixOf = (key: string): Prefix | null =>
-  MIRRORED.find((p) => key.startsWith(p)) ?? null;
+  CACHED_PREFIXES.find((p) => key.startsWith(p)) ?? null;
 
 export const key = {
   part: (index: number) => `parts/${index}`,
--- a/src/state/currency.ts
+++ b/src/state/linearizable-reads.ts
@@ -1,7 +1,7 @@
 import { HELD_READ_MS, USER_CALL_MS } from '../constants.js';
 import { CALL, StateTrouble, type StateClient } from './client.js';
 import { key } from './keys.js';
-import type { Mirror } from './mirror.js';
+import type { WatchCache } from './watch-cache.js';
 
 interface Waiter {
   readonly asked: number;
@@ -12,14 +12,14 @@
 }
 
 /**
- * Tells when the mirror shows everything that was committed before a request came in. Then an answer
- * from the mirror is as current as a read of its own would be, and all requests of a moment share
+ * Tells when the cache shows everything that was committed before a request came in. Then an answer
+ * from the cache is as current as a read of its own would be, and all requests of a moment share
  * one read however many jobs they ask about, so no job can wait longer than another.
  *
  * The feed's next read does it. While the feed is held, because nothing changes, one small read
  * tells the present epoch instead.
  */
-export class Currency {
+export class LinearizableReads {
   #waiters: Waiter[] = [];
   /** when the feed's present read began; null between reads */
   #reading: number | null = null;
@@ -28,10 +28,10 @@
 
   constructor(
     private readonly client: Pick<StateClient, 'get'>,
-    private readonly mirror: Mirror,
+    private readonly cache: WatchCache,
     private readonly now: () => number,
   ) {
-    mirror.on('change', () => this.#settle());
+    cache.on('change', () => this.#settle());
   }
 
   reading(since: number | null): void {
@@ -49,8 +49,8 @@
   }
 
   #settle(): void {
-    if (!this.mirror.ready) return;
-    const { currentAt, epoch } = this.mirror;
+    if (!this.cache.ready) return;
+    const { currentAt, epoch } = this.cache;
     this.#waiters = this.#waiters.filter((w) => {
       const shown = w.asked <= currentAt || (w.epoch !== null && epoch >= w.epoch);
       if (shown) w.resolve();
@@ -87,7 +87,7 @@
     const asked = this.#waiters.filter((w) => w.epoch === null);
     try {
       const found = await this.client.get(key.never, CALL.read);
-      const epoch = 'missing' in found ? found.epoch : found.stamp;
+      const epoch = 'missing' in found ? found.epoch : found.revision;
       for (const w of asked) w.epoch = epoch;
       this.#settle();
     } catch (error) {
--- a/src/state/mirror.ts
+++ b/src/state/watch-cache.ts
@@ -10,7 +10,7 @@
 import {
   FINAL,
   key,
-  MIRRORED,
+  CACHED_PREFIXES,
   decodeFinal,
   machinesOf,
   prefixOf,
@@ -30,7 +30,7 @@
   readonly epoch: number;
   /** a listing's last epoch: until the changes reach it, it shows a mixture */
   readonly whole?: number;
-  /** steady ms at which the read began: what was committed before it is in the mirror now */
+  /** steady ms at which the read began: what was committed before it is in the cache now */
   readonly began?: number;
 }
 
@@ -76,7 +76,7 @@
     } catch (error) {
       reading?.(null);
       if (!(error instanceof StateTrouble)) throw error;
-      // The client keeps the books on trouble; here it only means: later again.
+      // The client keeps the part's state on trouble; here it only means: later again.
       await sleep(STATE_PAUSE_MS);
     }
   }
@@ -87,7 +87,7 @@
   const changes: Change[] = [];
   let from = Infinity;
   let whole = 0;
-  for (const prefix of MIRRORED) {
+  for (const prefix of CACHED_PREFIXES) {
     let since: string | null = null;
     for (;;) {
       const page = await client.list(prefix, since, LIST_PAGE);
@@ -102,20 +102,20 @@
   return { fresh: true, changes, epoch: from, whole };
 };
 
-export interface Mirrored<T> {
+export interface Cached<T> {
   readonly value: T;
-  readonly stamp: number;
+  readonly revision: number;
 }
 /** What has changed since somebody last asked. */
-export interface MirrorChanges {
+export interface CacheChanges {
   all: boolean;
   readonly jobs: Set<string>;
   machines: boolean;
 }
-export interface MirroredMachine extends Mirrored<MachineRecord> {
+export interface CachedMachine extends Cached<MachineRecord> {
   readonly group: string;
 }
-type Tables = { [P in Prefix]: Map<string, Mirrored<Decoded[P]>> };
+type Tables = { [P in Prefix]: Map<string, Cached<Decoded[P]>> };
 
 const emptyTables = (): Tables => ({
   'active/': new Map(),
@@ -131,13 +131,13 @@
  * What the state service held at `epoch`, as far as this node needs it. It may be old: whatever
  * depends on the present is checked by a transaction's conditions or a current read.
  */
-export class Mirror extends EventEmitter {
+export class WatchCache extends EventEmitter {
   tables = emptyTables();
   /** the machines of all groups by name */
-  readonly machines = new Map<string, MirroredMachine>();
+  readonly machines = new Map<string, CachedMachine>();
   /** counts what was taken in: as long as it stays, there is nothing new to compare with */
   version = 0;
-  #changed: MirrorChanges = { all: true, jobs: new Set(), machines: true };
+  #changed: CacheChanges = { all: true, jobs: new Set(), machines: true };
   /** final states seen; the oldest are forgotten first and can be read again */
   readonly finals = new Map<string, FinalState>();
   epoch = -1;
@@ -146,7 +146,7 @@
   #ownEpoch = -1;
   /** keys that we removed ahead of the feed: older changes must not bring them back */
   readonly #removed = new Map<string, number>();
-  /** the listing's last page: before this epoch the mirror may show a mixture */
+  /** the listing's last page: before this epoch the cache may show a mixture */
   #whole = Infinity;
 
   get ready(): boolean {
@@ -166,7 +166,7 @@
     this.epoch = batch.epoch;
     this.currentAt = Math.max(this.currentAt, batch.began ?? -Infinity);
     if (batch.fresh || batch.changes.length > 0) this.version += 1;
-    for (const [k, stamp] of this.#removed) if (stamp <= this.epoch) this.#removed.delete(k);
+    for (const [k, revision] of this.#removed) if (revision <= this.epoch) this.#removed.delete(k);
     this.emit('change', batch);
   }
 
@@ -177,8 +177,8 @@
     for (const w of writes) {
       const removed = 'drop' in w;
       const change = removed
-        ? { key: w.drop, stamp: epoch, value: undefined, removed }
-        : { key: w.put, stamp: epoch, value: w.value, removed };
+        ? { key: w.drop, revision: epoch, value: undefined, removed }
+        : { key: w.put, revision: epoch, value: w.value, removed };
       this.#change(change);
       if (removed) this.#removed.set(change.key, epoch);
     }
@@ -188,44 +188,44 @@
   #change(change: Change): void {
     if (change.key.startsWith(FINAL)) {
       const uid = change.key.slice(FINAL.length);
-      if (!change.removed) this.learnFinal(uid, change.value, change.stamp);
+      if (!change.removed) this.learnFinal(uid, change.value, change.revision);
       return;
     }
     const prefix = prefixOf(change.key);
     if (prefix === null) return;
-    const table = this.tables[prefix] as Map<string, Mirrored<unknown>>;
+    const table = this.tables[prefix] as Map<string, Cached<unknown>>;
     const id = change.key.slice(prefix.length);
     const known = table.get(id);
-    // Of the same stamp: our own write, which is shown already.
-    if (known !== undefined && known.stamp >= change.stamp) return;
-    if ((this.#removed.get(change.key) ?? -1) > change.stamp) return;
+    // Of the same revision: our own write, which is shown already.
+    if (known !== undefined && known.revision >= change.revision) return;
+    if ((this.#removed.get(change.key) ?? -1) > change.revision) return;
     const value = change.removed ? undefined : decoders[prefix](id, change.value);
     if (prefix === 'machines/') {
       const old = known?.value as MachineGroup | undefined;
-      this.#regroup(id, old, value as MachineGroup | undefined, change.stamp);
+      this.#regroup(id, old, value as MachineGroup | undefined, change.revision);
     }
     if (prefix === 'active/') this.#changed.jobs.add(id);
     else if (prefix === 'machines/') this.#changed.machines = true;
     if (change.removed) table.delete(id);
-    else table.set(id, { value, stamp: change.stamp });
+    else table.set(id, { value, revision: change.revision });
   }
 
   #regroup(
     group: string,
     old: MachineGroup | undefined,
     now: MachineGroup | undefined,
-    stamp: number,
+    revision: number,
   ): void {
     for (const name of old?.hosts.keys() ?? []) {
       // A machine that has moved to another group in the same transaction is there already.
       if (this.machines.get(name)?.group === group) this.machines.delete(name);
     }
     if (now === undefined) return;
-    for (const value of machinesOf(now)) this.machines.set(value.name, { value, stamp, group });
+    for (const value of machinesOf(now)) this.machines.set(value.name, { value, revision, group });
   }
 
   /** For the one who compares what is with what is wanted: only the changed needs looking at. */
-  takeChanges(): MirrorChanges {
+  takeChanges(): CacheChanges {
     const changed = this.#changed;
     this.#changed = { all: false, jobs: new Set(), machines: false };
     return changed;
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -19,15 +19,15 @@
 import type { PartLoad } from '../core/jobs.js';
 import type { JobRecord, JobSpec, MachineType, TaskRange, Team } from '../core/model.js';
 import { CALL, StateTrouble, type StateClient } from '../state/client.js';
-import type { Currency } from '../state/currency.js';
+import type { LinearizableReads } from '../state/linearizable-reads.js';
 import { encodeActive, key, type FinalState } from '../state/keys.js';
-import type { Mirror } from '../state/mirror.js';
+import type { WatchCache } from '../state/watch-cache.js';
 import { SharedReads } from '../state/reads.js';
 import type { Write } from '../wire/schemas.js';
 
 /** What a user is told of a job. */
 export type JobAnswer =
-  | { readonly kind: 'active'; readonly job: JobRecord; readonly stamp: number }
+  | { readonly kind: 'active'; readonly job: JobRecord; readonly revision: number }
   | { readonly kind: 'final'; readonly final: FinalState }
   | { readonly kind: 'missing' };
 
@@ -54,8 +54,8 @@
 
   constructor(
     private readonly client: StateClient,
-    private readonly mirror: Mirror,
-    private readonly currency: Pick<Currency, 'wait'>,
+    private readonly cache: WatchCache,
+    private readonly linearizable: Pick<LinearizableReads, 'wait'>,
     private readonly routing: Routing,
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly parts: number,
@@ -74,7 +74,7 @@
     const since = this.now() - SENT_AWAY_MS;
     const out: JobSpec[] = [];
     for (const [uid, { spec, at }] of this.#sentAway) {
-      if (at < since || this.mirror.tables['active/'].has(uid)) this.#sentAway.delete(uid);
+      if (at < since || this.cache.tables['active/'].has(uid)) this.#sentAway.delete(uid);
       else out.push(spec);
     }
     return out;
@@ -82,24 +82,25 @@
 
   /** True if the job's final state is known here: it needs no read, not even in an outage. */
   isFinal(uid: string): boolean {
-    return this.mirror.finals.has(uid);
+    return this.cache.finals.has(uid);
   }
 
   /**
-   * The present state. The mirror is brought up to date first; a job that is not active there has
+   * The present state. The cache is brought up to date first; a job that is not active there has
    * ended or never was, since the move from active to final is one transaction.
    */
   async current(uid: string): Promise<JobAnswer> {
-    const final = this.mirror.finals.get(uid);
+    const final = this.cache.finals.get(uid);
     if (final !== undefined) return { kind: 'final', final };
-    await this.currency.wait();
-    const active = this.mirror.tables['active/'].get(uid);
-    if (active !== undefined) return { kind: 'active', job: active.value, stamp: active.stamp };
-    const now = this.mirror.finals.get(uid);
+    await this.linearizable.wait();
+    const active = this.cache.tables['active/'].get(uid);
+    if (active !== undefined)
+      return { kind: 'active', job: active.value, revision: active.revision };
+    const now = this.cache.finals.get(uid);
     if (now !== undefined) return { kind: 'final', final: now };
     const ended = await this.#reads.read(key.final(uid));
     if ('missing' in ended) return { kind: 'missing' };
-    return { kind: 'final', final: this.mirror.learnFinal(uid, ended.value, ended.stamp) };
+    return { kind: 'final', final: this.cache.learnFinal(uid, ended.value, ended.revision) };
   }
 
   submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
@@ -111,7 +112,7 @@
   }
 
   async #submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
-    const final = this.mirror.finals.get(spec.uid);
+    const final = this.cache.finals.get(spec.uid);
     if (final !== undefined) return { kind: 'known', answer: { kind: 'final', final } };
     const types = this.routing.types();
     if (types === null) return { kind: 'undecided', reason: 'machine types are not known yet' };
@@ -122,7 +123,7 @@
       if (answer.kind !== 'missing') return { kind: 'known', answer };
       return { kind: 'never', reason: verdict };
     }
-    const active = this.mirror.tables['active/'].get(spec.uid);
+    const active = this.cache.tables['active/'].get(spec.uid);
     if (active !== undefined) return { kind: 'known', answer: await this.current(spec.uid) };
     // What would only be refused after a wait is refused at once.
     const waitMs = this.client.expectedMs(CALL.acceptance);
@@ -142,13 +143,13 @@
     const result = await this.client.transact(
       CALL.acceptance,
       [
-        { key: key.active(spec.uid), stamp: 0 },
-        { key: key.final(spec.uid), stamp: 0 },
+        { key: key.active(spec.uid), revision: 0 },
+        { key: key.final(spec.uid), revision: 0 },
       ],
       writes,
     );
     if (result.ok) {
-      this.mirror.applyOwn(writes, result.epoch);
+      this.cache.applyOwn(writes, result.epoch);
       return { kind: 'accepted' };
     }
     const answer = await this.current(spec.uid);
@@ -198,11 +199,11 @@
       const writes: Write[] = [{ drop: key.active(uid) }, { put: key.final(uid), value: final }];
       const result = await this.client.transact(
         CALL.cancellation,
-        [{ key: key.active(uid), stamp: answer.stamp }],
+        [{ key: key.active(uid), revision: answer.revision }],
         writes,
       );
       if (result.ok) {
-        this.mirror.applyOwn(writes, result.epoch);
+        this.cache.applyOwn(writes, result.epoch);
         return final;
       }
     }
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -245,25 +245,28 @@
 });
 
 // --- state service ---
-const stamp = z.number().int().nonnegative();
-export const entry = z.object({ K: z.string(), Value: z.unknown().optional(), Stamp: stamp });
-export const missing = z.object({ Epoch: stamp });
+const revision = z.number().int().nonnegative();
+export const entry = z.object({ K: z.string(), Value: z.unknown().optional(), Stamp: revision });
+export const missing = z.object({ Epoch: revision });
 export const entries = z.object({
   Entries: z.array(entry),
   Truncated: z.boolean().nullish(),
-  Epoch: stamp,
+  Epoch: revision,
+});
+export const committed = z.object({ Epoch: revision });
+export const conflict = z.object({
+  failed: z.array(z.string()).nullish(),
+  Epoch: revision.nullish(),
 });
-export const committed = z.object({ Epoch: stamp });
-export const conflict = z.object({ failed: z.array(z.string()).nullish(), Epoch: stamp.nullish() });
 export const lease = z.object({ Permit: z.number() });
 export const news = z.object({
-  Epoch: stamp,
+  Epoch: revision,
   News: z.array(
     z.object({
       Put: z.string().nullish(),
       Drop: z.string().nullish(),
       Value: z.unknown().optional(),
-      Stamp: stamp,
+      Stamp: revision,
     }),
   ),
 });
@@ -273,10 +276,10 @@
   | { readonly drop: string };
 export interface Condition {
   readonly key: string;
-  readonly stamp: number;
+  readonly revision: number;
 }
 export const transactionBody = (when: readonly Condition[], writes: readonly Write[]): unknown => ({
-  When: when.map((c) => ({ K: c.key, Stamp: c.stamp })),
+  When: when.map((c) => ({ K: c.key, Stamp: c.revision })),
   Writes: writes.map((w) => {
     if ('drop' in w) return { Drop: w.drop };
     if (w.lease === undefined) return { Put: w.put, Value: w.value };
--- a/src/workers/beats.ts
+++ b/src/workers/heartbeats.ts
@@ -5,7 +5,7 @@
 import { answerBody, commandsBody, redirectBody, report as reportSchema } from '../wire/schemas.js';
 import { COMMAND_MS } from '../constants.js';
 
-export type BeatReply =
+export type HeartbeatReply =
   | { readonly kind: 'answer'; readonly token: number; readonly commands: readonly Command[] }
   | { readonly kind: 'redirect'; readonly node: string | null }
   | { readonly kind: 'unavailable' };
@@ -16,7 +16,7 @@
  * what they say would take the time that the start needs.
  */
 export const workerRoutes =
-  (beat: (report: Report) => BeatReply, open: () => boolean): Koa.Middleware =>
+  (beat: (report: Report) => HeartbeatReply, open: () => boolean): Koa.Middleware =>
   async (ctx, next) => {
     if (ctx.path !== '/agent/beat' || ctx.method !== 'POST') return next();
     if (!open()) {
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -2,20 +2,20 @@
 import { test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import pino from 'pino';
-import { Completions } from '../src/completions.js';
+import { Completions } from '../src/parts/completions.js';
 import type { PlatformConfig } from '../src/config/platform.js';
 import { HELD_READ_MS, MACHINES_MS, PROGRESS_MS, SAVE_MS } from '../src/constants.js';
 import type { Part } from '../src/core/part.js';
-import type { Owned } from '../src/keeper.js';
-import { MachineRecords } from '../src/machines.js';
+import type { Owned } from '../src/parts/part-controller.js';
+import { MachineRecords } from '../src/parts/machine-records.js';
 import { encodeDone } from '../src/core/jobs.js';
 import { StateTrouble, type Outcome } from '../src/state/client.js';
-import { Currency } from '../src/state/currency.js';
+import { LinearizableReads } from '../src/state/linearizable-reads.js';
 import { encodeActive, encodeGroup } from '../src/state/keys.js';
-import { Mirror } from '../src/state/mirror.js';
+import { WatchCache } from '../src/state/watch-cache.js';
 import type { Condition, Write } from '../src/wire/schemas.js';
 import { job, machine, partWith, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 /** What the state service is asked for, and how much of it: its limits are small and shared. */
 const CONFIG = {
@@ -24,7 +24,7 @@
 const LOG = pino({ level: 'silent' });
 
 const scene = () => {
-  const mirror = new Mirror();
+  const cache = new WatchCache();
   const written: (readonly Write[])[] = [];
   let epoch = 10;
   const client = {
@@ -35,18 +35,18 @@
     },
   };
   const show = (changes: [string, unknown][]): void => {
-    mirror.apply({
+    cache.apply({
       fresh: true,
       epoch,
       whole: epoch,
-      changes: changes.map(([key, value], i) => ({ key, value, stamp: i + 1, removed: false })),
+      changes: changes.map(([key, value], i) => ({ key, value, revision: i + 1, removed: false })),
     });
   };
-  return { mirror, written, client, show };
+  return { cache, written, client, show };
 };
 const own = (part: Part): Owned => ({
   part,
-  stamp: 1,
+  revision: 1,
   suspended: false,
   saving: false,
   lastSave: 0,
@@ -56,7 +56,7 @@
 });
 
 test('a wave of boots costs one write, and so does one of returns', async () => {
-  const { mirror, written, client, show } = scene();
+  const { cache, written, client, show } = scene();
   const names = Array.from({ length: 50 }, (_, i) => `m${i}`);
   const hosts = new Map(names.map((n) => [n, false]));
   const group = { part: 0, era: 1, type: 'm', zone: 'z', spot: false, hosts };
@@ -64,7 +64,7 @@
   const store = new Store().add(...names.map((n) => machine(n, { up: false })));
   const part = partWith(store);
   for (const n of names) {
-    const w = new FakeWorker(n, new Ground(), 1000, 18_000, 0);
+    const w = new FakeWorker(n, new World(), 1000, 18_000, 0);
     part.beat(w.report(), 0, true);
     w.direct(1, 1, []);
     part.inspected(w.report(), 1);
@@ -73,7 +73,7 @@
   const records = new MachineRecords(
     CONFIG,
     client,
-    mirror,
+    cache,
     () => Promise.resolve(),
     () => now,
     LOG,
@@ -83,24 +83,24 @@
     written.map((w) => w.length),
     [1],
   );
-  assert.ok(names.every((n) => mirror.machines.get(n)?.value.up === true));
-  part.sync({ jobs: store.jobs, done: () => undefined, machines: mirror.machines }, now);
+  assert.ok(names.every((n) => cache.machines.get(n)?.value.up === true));
+  part.sync({ jobs: store.jobs, done: () => undefined, machines: cache.machines }, now);
   records.returned(names);
   await records.tick(0, own(part), now);
   assert.equal(written.length, 1, 'not at once: more may come');
   now += MACHINES_MS;
   await records.tick(0, own(part), now);
   assert.deepEqual(written.slice(1), [[{ drop: 'machines/rental-1' }]]);
-  assert.equal(mirror.machines.size, 0);
+  assert.equal(cache.machines.size, 0);
 });
 
 test('completions of many arrays share a write, ends of jobs and ranges do not wait', async () => {
-  const { mirror, written, client, show } = scene();
+  const { cache, written, client, show } = scene();
   const uids = Array.from({ length: 30 }, (_, i) => `job-${String(i).padStart(6, '0')}`);
   const records = uids.map((uid) => job({ uid, tasks: 4 }));
   show(records.map((r) => [`active/${r.spec.uid}`, encodeActive(r)]));
   const part = partWith(new Store().add(...records));
-  const completions = new Completions(CONFIG, client, mirror, () => 0, LOG);
+  const completions = new Completions(CONFIG, client, cache, () => 0, LOG);
   const owned = own(part);
   const finish = (uid: string, index: number) => {
     const j = part.jobs.get(uid)!;
@@ -116,7 +116,7 @@
     [1],
     'one value for thirty ranges',
   );
-  assert.ok(uids.every((uid) => mirror.done(0, uid, 0) === '8'));
+  assert.ok(uids.every((uid) => cache.done(0, uid, 0) === '8'));
   assert.ok(uids.every((uid) => part.jobs.get(uid)!.saved.has(0)));
 
   for (const i of [1, 2, 3]) finish(uids[0]!, i);
@@ -130,7 +130,7 @@
 
 test('current answers: all questions of a moment share one read, whatever job they are about', async () => {
   let now = 0;
-  const { mirror, show } = scene();
+  const { cache, show } = scene();
   show([]);
   let reads = 0;
   let present = 10;
@@ -140,48 +140,48 @@
       return Promise.resolve({ missing: true as const, epoch: present });
     },
   };
-  const currency = new Currency(client, mirror, () => now);
+  const linearizable = new LinearizableReads(client, cache, () => now);
   const ask = (count: number) => {
     let answered = 0;
-    for (let i = 0; i < count; i++) void currency.wait().then(() => (answered += 1));
+    for (let i = 0; i < count; i++) void linearizable.wait().then(() => (answered += 1));
     return () => answered;
   };
   // The feed's next read serves everybody who asked before it began, and nobody else.
   const early = ask(200);
   now = 10;
   const late = ask(1);
-  mirror.apply({ fresh: false, epoch: 10, changes: [], began: 5 });
+  cache.apply({ fresh: false, epoch: 10, changes: [], began: 5 });
   await sleep(0);
   assert.deepEqual([early(), late(), reads], [200, 0, 0]);
-  // While the feed's read is held one small read tells the epoch; the mirror must then reach it.
-  currency.reading(10);
+  // While the feed's read is held one small read tells the epoch; the cache must then reach it.
+  linearizable.reading(10);
   now = 10 + HELD_READ_MS;
   present = 12;
   await sleep(3 * HELD_READ_MS);
   assert.deepEqual([late(), reads], [0, 1], 'the mirror is behind');
-  mirror.apply({ fresh: false, epoch: 12, changes: [], began: 0 });
+  cache.apply({ fresh: false, epoch: 12, changes: [], began: 0 });
   await sleep(0);
   assert.deepEqual([late(), reads], [1, 1]);
-  currency.close();
+  linearizable.close();
 });
 
 test('a write of completions that is carried out late does not undo what newer ones saved', async () => {
-  const mirror = new Mirror();
-  const values = new Map<string, { value: unknown; stamp: number }>();
+  const cache = new WatchCache();
+  const values = new Map<string, { value: unknown; revision: number }>();
   let epoch = 10;
   const run = (when: readonly Condition[], writes: readonly Write[]): Outcome => {
-    const failed = when.filter((c) => (values.get(c.key)?.stamp ?? 0) !== c.stamp);
+    const failed = when.filter((c) => (values.get(c.key)?.revision ?? 0) !== c.revision);
     if (failed.length > 0) return { ok: false, failed: failed.map((c) => c.key) };
     epoch += 1;
     for (const w of writes) {
       if ('drop' in w) values.delete(w.drop);
-      else values.set(w.put, { value: w.value, stamp: epoch });
+      else values.set(w.put, { value: w.value, revision: epoch });
     }
     return { ok: true, epoch };
   };
   const show = () => {
     const changes = [...values].map(([key, v]) => ({ key, ...v, removed: false }));
-    mirror.apply({ fresh: false, epoch, changes });
+    cache.apply({ fresh: false, epoch, changes });
   };
   const lost: (() => Outcome)[] = [];
   let losing = false;
@@ -193,14 +193,14 @@
     },
   };
   const record = job({ tasks: 3 });
-  values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
-  values.set('active/job-000001', { value: encodeActive(record), stamp: 2 });
+  values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, revision: 1 });
+  values.set('active/job-000001', { value: encodeActive(record), revision: 2 });
   show();
   const part = partWith(new Store().add(record));
   const state = part.jobs.get('job-000001')!;
   const owned = own(part);
   let now = 0;
-  const completions = new Completions(CONFIG, client, mirror, () => now, LOG);
+  const completions = new Completions(CONFIG, client, cache, () => now, LOG);
   const save = async (index: number) => {
     if (index >= 0) {
       state.unsaved.add(index);
@@ -216,7 +216,7 @@
   show();
   for (const late of lost) late();
   show();
-  assert.equal(mirror.done(0, 'job-000001', 0), encodeDone({ from: 0, to: 3 }, new Set([0, 1])));
+  assert.equal(cache.done(0, 'job-000001', 0), encodeDone({ from: 0, to: 3 }, new Set([0, 1])));
   // The other way round: the late one comes first, and the newer one is repeated on what it left.
   losing = true;
   await save(2);
@@ -243,14 +243,14 @@
     ],
   ];
   for (const [name, found, adopted] of cases) {
-    const { mirror, written, client, show } = scene();
+    const { cache, written, client, show } = scene();
     show([]);
-    // What the mirror shows before the read is old.
+    // What the cache shows before the read is old.
     const current = () => {
       show(found);
       return Promise.resolve();
     };
-    const records = new MachineRecords(CONFIG, client, mirror, current, () => 0, LOG);
+    const records = new MachineRecords(CONFIG, client, cache, current, () => 0, LOG);
     const { type, zone, spot } = group;
     await records.adopt(own(partWith(new Store())), { part: 0, type, zone, spot }, 'x');
     assert.equal(written.length, adopted ? 1 : 0, name);
--- a/test/gap.test.ts
+++ b/test/cancellation-outage.test.ts
@@ -76,7 +76,7 @@
         await row.then(c);
         await c.pass(OPTIONS.cancelS + 2);
         assert.equal(c.running(doomed), 0, 'cancelled tasks are gone in time');
-        assert.deepEqual(c.ground.broken, []);
+        assert.deepEqual(c.world.broken, []);
         assert.equal(c.running(kept) === TASKS, row.survives, `${c.running(kept)} others run`);
         const status = await c.statusOf('n0', doomed);
         assert.ok(['cancelled', '503'].includes(status), `no older answer: ${status}`);
@@ -86,7 +86,7 @@
         await c.until('n0 knows', 20, async () => (await c.statusOf('n0', doomed)) === 'cancelled');
         await c.until('the rest runs again', 40, () => c.running(kept) === TASKS);
         assert.equal(c.running(doomed), 0);
-        assert.deepEqual(c.ground.broken, []);
+        assert.deepEqual(c.world.broken, []);
       } finally {
         c.close();
       }
@@ -99,14 +99,14 @@
       await c.open();
       const uid = await c.submit('n0', JOB);
       await c.until('all of it runs', 30, () => c.running(uid) === TASKS);
-      const { started } = c.ground;
+      const { started } = c.world;
       c.state.out = true;
       await c.pass(OPTIONS.cancelS + 2);
       assert.equal(c.running(uid), TASKS);
       c.state.recover();
       await c.pass(3);
-      assert.equal(c.ground.started, started, 'nothing had to start again');
-      assert.deepEqual(c.ground.broken, []);
+      assert.equal(c.world.started, started, 'nothing had to start again');
+      assert.deepEqual(c.world.broken, []);
     } finally {
       c.close();
     }
--- a/test/cancellations.test.ts
+++ b/test/cancellations.test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { TOLD_MOST } from '../src/constants.js';
-import { Hearer, renewableMs, Teller } from '../src/core/cancellations.js';
+import {
+  CancellationReceiver,
+  renewableMs,
+  CancellationBroadcast,
+} from '../src/core/cancellations.js';
 
 const CANCEL_MS = 38_000;
 const cancellation = (n: number) => ({ uid: `job-${n}`, tasks: 1, done: 0, epoch: n });
-const uids = (t: Teller, now: number) => t.tell(now).map((c) => c.uid);
+const uids = (t: CancellationBroadcast, now: number) => t.tell(now).map((c) => c.uid);
 
 test('a cancellation is told until every other node has acknowledged a message that names it', () => {
-  const t = new Teller(['b', 'c'], CANCEL_MS);
+  const t = new CancellationBroadcast(['b', 'c'], CANCEL_MS);
   t.learned(cancellation(1), 0);
   // An acknowledgement of a message from before it was learned says nothing of it.
   t.acknowledged('b', -5);
@@ -28,7 +32,7 @@
 });
 
 test('a teller that had to leave one out says so for as long as it matters', () => {
-  const t = new Teller(['b'], CANCEL_MS);
+  const t = new CancellationBroadcast(['b'], CANCEL_MS);
   for (let n = 0; n < TOLD_MOST; n++) t.learned(cancellation(n), 0);
   assert.equal(t.complete(0), true);
   t.learned(cancellation(TOLD_MOST), 5);
@@ -125,13 +129,17 @@
     },
   ];
   for (const { name, readAt, words, known } of cases) {
-    const h = new Hearer(['b', 'c']);
+    const h = new CancellationReceiver(['b', 'c']);
     for (const [at, node, incarnation, echoed, complete = true] of words) {
       h.heard({ node, incarnation, complete, echoed }, Math.min(at, readAt), at);
     }
     assert.equal(h.knownUntil(readAt), known, name);
   }
-  assert.equal(new Hearer([]).knownUntil(5), Infinity, 'nobody else can confirm anything');
+  assert.equal(
+    new CancellationReceiver([]).knownUntil(5),
+    Infinity,
+    'nobody else can confirm anything',
+  );
 });
 
 test('a lease renewed at the last moment ends in time for a cancellation not heard of', () => {
--- a/test/rooms.test.ts
+++ b/test/candidates.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { allowed } from '../src/core/allowed.js';
+import { isFeasible } from '../src/core/constraints.js';
 import { fits, PRIORITY_RANK } from '../src/core/model.js';
 import { mostMatched } from '../src/core/placement.js';
-import { Rooms } from '../src/core/rooms.js';
+import { Candidates } from '../src/core/candidates.js';
 import { randomFrom } from '../src/random.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 /** A part with machines of all kinds, each of which has answered, and some work on them. */
 const crowd = (random: (below: number) => number) => {
@@ -24,7 +24,7 @@
   }
   const part = partWith(store);
   for (const n of names) {
-    const w = new FakeWorker(n, new Ground(), 1e6, LEASE_MS, 0);
+    const w = new FakeWorker(n, new World(), 1e6, LEASE_MS, 0);
     part.beat(w.report(), 0, false);
     w.direct(1, 1, []);
     part.inspected(w.report(), 1);
@@ -42,7 +42,7 @@
   for (let seed = 1; seed <= 200; seed++) {
     const random = randomFrom(seed);
     const { store, part } = crowd(random);
-    const { books } = part;
+    const { state } = part;
     const demand = { cpus: 1 + random(6), gpus: random(2), memoryGb: 1 + random(30) };
     const more = {
       uid: 'job-99',
@@ -55,11 +55,11 @@
     part.sync(store, 3);
     const guest = part.jobs.get('job-99')!;
     const candidates = [...part.machines.values()]
-      .filter((m) => fits(demand, m.free) && allowed(books, m, guest, 3))
+      .filter((m) => fits(demand, m.free) && isFeasible(state, m, guest, 3))
       .map((m) => ({ name: m.record.name, free: m.free, hasImage: m.images.has(more.image) }));
     const held = candidates.filter((c) => c.hasImage);
-    const plain = mostMatched(held.length > 0 ? held : candidates, books.largest)?.name ?? null;
-    const rooms = new Rooms(books, demand, 3);
+    const plain = mostMatched(held.length > 0 ? held : candidates, state.largest)?.name ?? null;
+    const rooms = new Candidates(state, demand, 3);
     const chosen = rooms.best(guest, demand)?.record.name ?? null;
     assert.equal(chosen, plain, `seed ${seed}`);
     if (chosen === null) none += 1;
@@ -82,7 +82,7 @@
   const scene = (preempt: boolean) => {
     const part = partWith(store, 1, { preempt });
     for (const n of ['a', 'b']) {
-      const w = new FakeWorker(n, new Ground(), 1e6, LEASE_MS, 0);
+      const w = new FakeWorker(n, new World(), 1e6, LEASE_MS, 0);
       part.beat(w.report(), 0, false);
       w.direct(1, 1, []);
       part.inspected(w.report(), 1);
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -8,7 +8,7 @@
 } from '../src/core/capacity.js';
 import { Learning } from '../src/core/learning.js';
 import { job, machine, machineType, partWith, spec, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 const input = (store: Store, over: Partial<CapacityInput> = {}): CapacityInput => ({
   part: partWith(store),
@@ -112,7 +112,7 @@
   const store = new Store().add(machine('idle'), machine('lost'), machine('new', { up: false }));
   const i = input(store);
   for (const name of ['idle', 'lost']) {
-    const w = new FakeWorker(name, new Ground(), 1000, 18_000, 0);
+    const w = new FakeWorker(name, new World(), 1000, 18_000, 0);
     i.part.beat(w.report(), 0, true);
     w.token = 1;
     i.part.beat(w.report(), 500, true);
--- a/test/meetings.test.ts
+++ b/test/combined-faults.test.ts
@@ -44,13 +44,15 @@
     jobs: [LONG, { ...LONG, Pieces: 40 }, { ...SMALL, Shape: 'ensemble', Pieces: 2 }],
     meet: async (c, [, second]) => {
       late(c, 2500);
+      const executed = () => [...c.doors.values()].reduce((sum, d) => sum + d.late, 0);
       await c.pass(6);
       const cancelling = c.cancel('n1', second!);
       await c.pass(2);
+      // How many transactions there are depends on how they fall together: more work brings more.
+      for (let i = 0; i < 10 && executed() < 3; i++) await c.submit('n2', { ...SMALL, Pieces: 2 });
       late(c, null);
       await cancelling;
-      const executed = [...c.doors.values()].reduce((sum, d) => sum + d.late, 0);
-      assert.ok(executed >= 3, `${executed} transactions were late`);
+      assert.ok(executed() >= 3, `${executed()} transactions were late`);
     },
   },
   {
@@ -170,11 +172,11 @@
     jobs: [LONG, { ...SMALL, Pieces: 3 }],
     meet: async (c, [first]) => {
       const hosts = c.hosts();
-      for (const h of hosts) h.mute = true;
+      for (const h of hosts) h.losesReports = true;
       await c.cancel('n0', first!);
       await c.submit('n1', LONG);
       await c.pass(LEASE_S + 4);
-      for (const h of hosts) h.mute = false;
+      for (const h of hosts) h.losesReports = false;
     },
   },
   {
@@ -184,9 +186,9 @@
     meet: async (c) => {
       for (const h of c.hosts()) h.copyMs = (LEASE_S + 2) * 1000;
       await c.pass(1);
-      for (const h of c.hosts().slice(0, 1)) h.mute = true;
+      for (const h of c.hosts().slice(0, 1)) h.losesReports = true;
       await c.pass(LEASE_S + 1);
-      for (const h of c.hosts()) h.mute = false;
+      for (const h of c.hosts()) h.losesReports = false;
       await c.submit('n2', LONG);
       await c.pass(5);
       assert.ok(c.hosts().some((h) => h.copies > 3));
@@ -322,7 +324,7 @@
     jobs: [LONG, LONG],
     meet: async (c, [first]) => {
       c.hosts().forEach((h, i) => {
-        if (i % 3 === 0) h.deaf = true;
+        if (i % 3 === 0) h.losesAnswers = true;
         if (i % 3 === 1) h.worker.hung = true;
       });
       c.kill('n0');
@@ -330,7 +332,7 @@
       await c.cancel('n1', first!);
       await c.pass(12);
       for (const h of c.hosts()) {
-        h.deaf = false;
+        h.losesAnswers = false;
         h.worker.hung = false;
       }
       await c.start('n0');
@@ -348,13 +350,13 @@
       const busy = c.hosts().filter((h) => h.worker.tasks.size > 0);
       busy.forEach((h, i) => {
         if (i % 2 === 0) h.worker.hung = true;
-        else h.deaf = h.mute = true;
+        else h.losesAnswers = h.losesReports = true;
       });
       const cancelling = [c.cancel('n0', uids[0]!), c.cancel('n1', uids[1]!)];
       for (const n of c.names) await crash(c, n, 300);
       await c.pass(8);
       await Promise.all(cancelling);
-      for (const h of c.hosts()) h.worker.hung = h.deaf = h.mute = false;
+      for (const h of c.hosts()) h.worker.hung = h.losesAnswers = h.losesReports = false;
     },
   },
   {
@@ -468,15 +470,29 @@
     jobs: [LONG],
     meet: async (c) => {
       for (let i = 0; i < 3; i++) {
+        const node = c.names[i]!;
+        const door = c.doors.get(node)!;
         for (const d of c.doors.values()) d.slowWritesMs = 900;
-        const before = c.cloud.machines.size;
-        await c.submit(c.names[i]!, { ...SMALL, Vcpus: 4, Pieces: 12 });
-        await c.until('new machines', 30, () => c.cloud.machines.size > before);
-        await c.pass(0.4 + i * 0.6);
-        for (const d of c.doors.values()) d.slowWritesMs = i === 1 ? 900 : 0;
-        await crash(c, c.names[i]!, i === 0 ? 4000 : 200);
+        const before = new Set(c.cloud.machines.keys());
+        const fresh = () => c.hosts().filter((h) => !before.has(h.worker.name));
+        // A machine each, and more of them than there are.
+        await c.submit(node, { ...SMALL, Vcpus: 8, Pieces: before.size + 6 });
+        await c.until('new machines', 30, () => fresh().length > 0);
+        // Its rental is recorded after one slow write, that it is up after another one.
+        await c.pass(1.9 + i * 0.25);
+        // Its last writes never arrive, among them the records of machines that are up, and the next
+        // owner can't ask those machines at first.
+        c.kill(node);
+        for (const h of fresh()) h.worker.hung = true;
+        door.dropsWrites = true;
+        await c.pass(i === 0 ? 4 : 1);
+        door.dropsWrites = false;
+        for (const d of c.doors.values()) d.slowWritesMs = 0;
+        await c.start(node);
+        await c.until(`${node} is ready`, 30, () => c.ready(node));
+        await c.pass(8);
+        for (const h of c.hosts()) h.worker.hung = false;
       }
-      for (const d of c.doors.values()) d.slowWritesMs = 0;
     },
   },
   {
@@ -517,21 +533,21 @@
         await c.open();
         const uids: string[] = [];
         for (const [i, body] of row.jobs.entries()) uids.push(await c.submit(`n${i % 3}`, body));
-        await c.until('some of it runs', 20, () => uids.length === 0 || c.ground.started > 3);
+        await c.until('some of it runs', 20, () => uids.length === 0 || c.world.started > 3);
         await row.meet(c, uids);
         for (const n of c.names) await c.until(`${n} is back`, 40, () => c.ready(n));
-        for (const uid of c.ground.jobs.keys()) {
-          const end = c.ground.cancelledAt.has(uid) ? 'cancelled' : 'done';
+        for (const uid of c.world.jobs.keys()) {
+          const end = c.world.cancelledAt.has(uid) ? 'cancelled' : 'done';
           for (const n of c.names) {
             await c.until(`${uid} ${end}`, 60, async () => (await c.statusOf(n, uid)) === end);
           }
         }
-        const cancelled = [...c.ground.cancelledAt.keys()];
+        const cancelled = [...c.world.cancelledAt.keys()];
         await c.until('cancelled tasks are gone', CANCEL_S + 2, () =>
           cancelled.every((uid) => c.running(uid) === 0),
         );
-        assert.deepEqual(c.ground.broken, []);
-        assert.ok(c.ground.started > 3, 'something ran');
+        assert.deepEqual(c.world.broken, []);
+        assert.ok(c.world.started > 3, 'something ran');
       } finally {
         c.close();
       }
--- a/test/beats.test.ts
+++ b/test/heartbeats.test.ts
@@ -5,7 +5,7 @@
 import Koa from 'koa';
 import type { Report } from '../src/core/model.js';
 import { CborClient } from '../src/http.js';
-import { workerRoutes, type BeatReply } from '../src/workers/beats.js';
+import { workerRoutes, type HeartbeatReply } from '../src/workers/heartbeats.js';
 
 const REPORT = {
   Host: 'a',
@@ -26,10 +26,10 @@
   name: string;
   open: boolean;
   body: unknown;
-  reply: BeatReply;
+  reply: HeartbeatReply;
   status: number;
   answer: unknown;
-  /** whether the report reaches the books */
+  /** whether the report reaches the part's state */
   read: boolean;
 }[] = [
   {
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import pino from 'pino';
-import { Completions } from '../src/completions.js';
+import { Completions } from '../src/parts/completions.js';
 import { ConfigError, parsePlatform, type PlatformConfig } from '../src/config/platform.js';
 import { PROGRESS_MS, SAVE_MS, SLOT_FILL } from '../src/constants.js';
 import { cutRanges, decodeDone, encodeDone, rangeMost } from '../src/core/jobs.js';
 import type { JobRecord } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
-import type { Owned } from '../src/keeper.js';
+import type { Owned } from '../src/parts/part-controller.js';
 import { CALL, StateClient, StateTrouble, type Outcome } from '../src/state/client.js';
 import { encodeActive } from '../src/state/keys.js';
-import { Mirror } from '../src/state/mirror.js';
+import { WatchCache } from '../src/state/watch-cache.js';
 import type { Condition, Write } from '../src/wire/schemas.js';
 import { job, partWith, PLATFORM, Store } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
-import { FakeState } from './standins/state.js';
+import { FakeStateService } from './standins/state.js';
 
 /** Limits of the state service that fall at a moment that nobody announces. */
 const LOG = pino({ level: 'silent' });
@@ -67,11 +67,11 @@
 
 /** A part whose values were written when they could be larger, on a service that allows less now. */
 const scene = (valueBytes: number, transactionOps: number) => {
-  const mirror = new Mirror();
-  const values = new Map<string, { value: unknown; stamp: number }>();
+  const cache = new WatchCache();
+  const values = new Map<string, { value: unknown; revision: number }>();
   let epoch = 10;
   const world = { most: 0, now: 0 };
-  const show = (target = mirror) => {
+  const show = (target = cache) => {
     const changes = [...values].map(([key, v]) => ({ key, ...v, removed: false }));
     target.apply({ fresh: true, epoch, whole: epoch, changes });
   };
@@ -88,13 +88,13 @@
         assert.ok(size <= valueBytes, `${w.put}: ${size} bytes`);
         world.most = Math.max(world.most, size);
       }
-      const failed = when.filter((c) => (values.get(c.key)?.stamp ?? 0) !== c.stamp);
+      const failed = when.filter((c) => (values.get(c.key)?.revision ?? 0) !== c.revision);
       if (failed.length > 0)
         return Promise.resolve({ ok: false, failed: failed.map((c) => c.key) });
       epoch += 1;
       for (const w of writes) {
         if ('drop' in w) values.delete(w.drop);
-        else values.set(w.put, { value: w.value, stamp: epoch });
+        else values.set(w.put, { value: w.value, revision: epoch });
       }
       return Promise.resolve({ ok: true, epoch });
     },
@@ -102,10 +102,10 @@
   const config = {
     stateLimits: { rps: 1, writeRps: 1, valueBytes, transactionOps },
   } as unknown as PlatformConfig;
-  const completions = new Completions(config, client, mirror, () => world.now, LOG);
+  const completions = new Completions(config, client, cache, () => world.now, LOG);
   const own = (part: Part): Owned => ({
     part,
-    stamp: 1,
+    revision: 1,
     suspended: false,
     saving: false,
     lastSave: 0,
@@ -120,7 +120,7 @@
   };
   /** What a node that starts now knows to be done, whichever of two copies it meets first. */
   const known = (uid: string): Set<number> => {
-    const fresh = new Mirror();
+    const fresh = new WatchCache();
     show(fresh);
     const out = new Set<number>();
     for (const r of fresh.tables['active/'].get(uid)!.value.ranges) {
@@ -129,7 +129,7 @@
     }
     return out;
   };
-  return { values, mirror, show, save, known, world };
+  return { values, cache, show, save, known, world };
 };
 
 test('a slot from a time of larger values is taken apart, each step right by itself', async () => {
@@ -139,17 +139,17 @@
     [512, 5],
   ] as const) {
     const s = scene(valueBytes, ops);
-    s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
+    s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, revision: 1 });
     const records: JobRecord[] = [];
     const slot: Record<string, string> = {};
     for (let n = 0; n < 60; n++) {
       const record = job({ uid: `job-${n}`, tasks: 240 });
       records.push(record);
-      s.values.set(`active/job-${n}`, { value: encodeActive(record), stamp: 2 });
+      s.values.set(`active/job-${n}`, { value: encodeActive(record), revision: 2 });
       slot[`job-${n}/0`] = encodeDone({ from: 0, to: 240 }, new Set([n, 239]));
     }
     assert.ok(JSON.stringify(slot).length > 4000);
-    s.values.set('done/0/0', { value: slot, stamp: 3 });
+    s.values.set('done/0/0', { value: slot, revision: 3 });
     s.show();
     const part = partWith(new Store().add(...records));
     let steps = 0;
@@ -179,17 +179,17 @@
   const s = scene(valueBytes, ops);
   const tasks = 240;
   const range = { from: 0, to: tasks };
-  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
+  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, revision: 1 });
   const records: JobRecord[] = [];
   const large: Record<string, string> = {};
   for (let n = 0; n < 20; n++) {
     const record = job({ uid: `job-${n}`, tasks });
     records.push(record);
-    s.values.set(`active/job-${n}`, { value: encodeActive(record), stamp: 2 });
+    s.values.set(`active/job-${n}`, { value: encodeActive(record), revision: 2 });
     large[`job-${n}/0`] = encodeDone(range, new Set([n]));
   }
-  s.values.set('done/0/0', { value: {}, stamp: 3 });
-  s.values.set('done/0/1', { value: large, stamp: 3 });
+  s.values.set('done/0/0', { value: {}, revision: 3 });
+  s.values.set('done/0/1', { value: large, revision: 3 });
   s.show();
   const part = partWith(new Store().add(...records));
   const slot = (n: number) => s.values.get(`done/0/${n}`)!.value as Record<string, string>;
@@ -201,7 +201,7 @@
     const n = Number(/\d+/.exec(name)![0]);
     value[name] = encodeDone(range, new Set([n, 100]));
   }
-  s.values.set('done/0/0', { value, stamp: 99 });
+  s.values.set('done/0/0', { value, revision: 99 });
   s.show();
   for (let step = 0; step < 20; step++) {
     await s.save(part);
@@ -223,15 +223,15 @@
       [a, b],
       [b, a],
     ]) {
-      const mirror = new Mirror();
+      const cache = new WatchCache();
       const changes = slots.map((bits, n) => ({
         key: `done/0/${n}`,
         value: { 'job-1/0': bits },
-        stamp: n + 1,
+        revision: n + 1,
         removed: false,
       }));
-      mirror.apply({ fresh: true, epoch: 9, whole: 9, changes });
-      assert.equal(mirror.done(0, 'job-1', 0), either);
+      cache.apply({ fresh: true, epoch: 9, whole: 9, changes });
+      assert.equal(cache.done(0, 'job-1', 0), either);
     }
   }
 });
@@ -240,17 +240,17 @@
   const s = scene(1024, 4);
   const record = job({ uid: 'job-1', tasks: 6000 });
   const done = new Set(Array.from({ length: 1500 }, (_, i) => i * 4 + 1));
-  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, stamp: 1 });
-  s.values.set('active/job-1', { value: encodeActive(record), stamp: 2 });
+  s.values.set('parts/0', { value: { owner: 'n', incarnation: 'a', term: 1 }, revision: 1 });
+  s.values.set('active/job-1', { value: encodeActive(record), revision: 2 });
   s.values.set('done/0/0', {
     value: { 'job-1/0': encodeDone({ from: 0, to: 6000 }, done) },
-    stamp: 3,
+    revision: 3,
   });
   s.show();
   const store = new Store().add(record);
   store.bits.set('job-1/0', encodeDone({ from: 0, to: 6000 }, done));
   const part = partWith(store);
-  const ranges = () => s.mirror.tables['active/'].get('job-1')!.value.ranges;
+  const ranges = () => s.cache.tables['active/'].get('job-1')!.value.ranges;
   for (let step = 0; step < 12; step++) {
     await s.save(part);
     assert.deepEqual(
@@ -271,7 +271,7 @@
 });
 
 test('the state client: sizes at the edge, 400s that are not repeated, a 429 that lowers the rate', async () => {
-  const state = new FakeState();
+  const state = new FakeStateService();
   await state.start();
   const errors: string[] = [];
   const log = pino({ level: 'error' }, { write: (line: string) => errors.push(line) });
@@ -293,7 +293,7 @@
       ['one condition more', [put('a', 9)], 9, false],
     ];
     for (const [name, writes, conditions, fits] of edges) {
-      const when = Array.from({ length: conditions }, (_, i) => ({ key: `k${i}`, stamp: 0 }));
+      const when = Array.from({ length: conditions }, (_, i) => ({ key: `k${i}`, revision: 0 }));
       const sent = client.transact(CALL.rest, when, writes).then(
         () => true,
         (e: unknown) => {
@@ -341,7 +341,7 @@
     const uids = [];
     for (let i = 0; i < 6; i++)
       uids.push(await c.submit(c.names[i % 3]!, { ...small, Pieces: 60 }));
-    await c.until('some of it runs', 20, () => c.ground.started > 20);
+    await c.until('some of it runs', 20, () => c.world.started > 20);
     c.state.limits = { valueBytes: 1024, transactionOps: 3, writeRps: 60 };
     for (let i = 0; i < 3; i++)
       uids.push(await c.submit(c.names[i % 3]!, { ...small, Pieces: 60 }));
@@ -349,7 +349,7 @@
       await c.until(`${uid} done`, 60, async () => (await c.statusOf('n0', uid)) === 'done');
     }
     assert.equal(c.state.refused.size, 0);
-    assert.deepEqual(c.ground.broken, []);
+    assert.deepEqual(c.world.broken, []);
   } finally {
     c.close();
   }
--- a/test/troubles.test.ts
+++ b/test/machine-faults.test.ts
@@ -4,7 +4,7 @@
 import type { Command, Report } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
 import { job, LEASE_MS, machine, machineType, partWith, settings, Store } from './helpers.js';
-import { CANCEL_MS, FakeWorker, Ground } from './standins/worker.js';
+import { CANCEL_MS, FakeWorker, World } from './standins/worker.js';
 
 const RUN_MS = 20_000;
 const REPORT_MS = settings().reportMs;
@@ -42,7 +42,7 @@
   if (hears) w.answered(part.term, result.commands, now, r.session);
   return result.commands;
 };
-const runsOn = (ground: Ground, task: string): string[] => [...(ground.on.get(task) ?? [])];
+const runsOn = (world: World, task: string): string[] => [...(world.on.get(task) ?? [])];
 
 test('a machine that reports but hears nothing: its work goes elsewhere, it is given back', () => {
   const cases: { name: string; direct: boolean }[] = [
@@ -50,10 +50,10 @@
     { name: 'direct starts have no answer either', direct: true },
   ];
   for (const { name, direct } of cases) {
-    const ground = new Ground();
+    const world = new World();
     const part = partWith(new Store().add(machine('a'), machine('b'), job()));
-    const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
-    const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+    const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
+    const b = new FakeWorker('b', world, RUN_MS, LEASE_MS, 0);
     beat(part, a, 0);
     part.inspected(a.report(), 100);
     if (direct) {
@@ -62,7 +62,7 @@
     }
     beat(part, b, 300);
     let now = REPORT_MS;
-    for (; now < 2 * LEASE_MS && runsOn(ground, 'job-000001/0').length === 0; now += REPORT_MS) {
+    for (; now < 2 * LEASE_MS && runsOn(world, 'job-000001/0').length === 0; now += REPORT_MS) {
       beat(part, a, now, false);
       if (returns(part, now).includes('a')) {
         a.vanish();
@@ -71,37 +71,37 @@
       beat(part, b, now + 1);
       beat(part, b, now + 600);
     }
-    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['b'], `${name}: it runs where orders arrive`);
+    assert.deepEqual(runsOn(world, 'job-000001/0'), ['b'], `${name}: it runs where orders arrive`);
     assert.ok(now <= 8 * REPORT_MS, `${name}: after ${now} ms`);
-    assert.ok(!part.machines.has('a') || part.machines.get('a')!.deafSince !== null, name);
-    assert.deepEqual(ground.broken, [], name);
+    assert.ok(!part.machines.has('a') || part.machines.get('a')!.ignoringSince !== null, name);
+    assert.deepEqual(world.broken, [], name);
   }
 });
 
 test('one lost answer is no reason to give a machine back', () => {
-  const ground = new Ground();
+  const world = new World();
   const part = partWith(new Store().add(machine('a'), job()));
-  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+  const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
   beat(part, a, 0);
   beat(part, a, REPORT_MS, false);
   beat(part, a, 2 * REPORT_MS);
   beat(part, a, 3 * REPORT_MS);
-  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  assert.deepEqual(runsOn(world, 'job-000001/0'), ['a']);
   assert.deepEqual(returns(part, 6 * REPORT_MS), []);
 });
 
 test('a cancelled task on a machine that does not obey is gone in time: the machine is returned', () => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(machine('a'), job());
   // A lease longer than the time for cancellations: it does not end the task in time by itself.
   const part = partWith(store, 1, { leaseMs: 10 * CANCEL_MS });
-  const a = new FakeWorker('a', ground, 10 * CANCEL_MS, 10 * CANCEL_MS, 0);
+  const a = new FakeWorker('a', world, 10 * CANCEL_MS, 10 * CANCEL_MS, 0);
   beat(part, a, 0);
   beat(part, a, 600);
-  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  assert.deepEqual(runsOn(world, 'job-000001/0'), ['a']);
   store.jobs.delete('job-000001');
   part.sync(store, 1000);
-  ground.cancelledAt.set('job-000001', 1000);
+  world.cancelledAt.set('job-000001', 1000);
   let now = 1000;
   while (!returns(part, now).includes('a')) {
     beat(part, a, now, false);
@@ -117,22 +117,22 @@
     const m = part.machines.get('a');
     const j = part.jobs.get('job-000001');
     return {
-      machine: m && [m.session, m.counter, m.lastBeatAt, m.answeredAt, m.known, m.foreign],
+      machine: m && [m.session, m.counter, m.lastHeartbeatAt, m.answeredAt, m.known, m.foreign],
       tasks: m && [...m.tasks.keys()],
       job: j && [j.waiting.length, [...j.placed.keys()], [...j.saved], [...j.unsaved], j.failures],
     };
   };
   const scene = () => {
-    const ground = new Ground();
+    const world = new World();
     const store = new Store().add(machine('a'), job());
     const part = partWith(store);
-    const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+    const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
     const sent: Report[] = [];
     const say = (now: number) => {
       beat(part, a, now);
       sent.push({ ...a.report(), counter: a.counter - 1 });
     };
-    return { ground, store, part, a, sent, say };
+    return { world, store, part, a, sent, say };
   };
   type Scene = ReturnType<typeof scene>;
   const cases: [string, (s: Scene) => Part, (s: Scene) => void][] = [
@@ -175,32 +175,32 @@
     const at = 20 * LEASE_MS;
     for (const c of copies) assert.notEqual(part.beat(c, at, true).kind, 'answer', name);
     assert.deepEqual(knows(part), before, name);
-    assert.deepEqual(s.ground.broken, [], name);
+    assert.deepEqual(s.world.broken, [], name);
   }
 });
 
 test('a copy from before a takeover does not count as an answer to the new owner', () => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(machine('a'), machine('b'), job());
   const old = partWith(store, 1);
-  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
-  const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+  const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
+  const b = new FakeWorker('b', world, RUN_MS, LEASE_MS, 0);
   beat(old, a, 0);
   const idle = a.report();
   beat(old, a, 600);
-  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  assert.deepEqual(runsOn(world, 'job-000001/0'), ['a']);
   const part = partWith(store, 2, {}, 1000);
   beat(part, b, 1000);
   beat(part, b, 1600);
   part.beat(idle, 1700, true);
   assert.equal(part.rebuilt, false, 'it was made before our term');
   beat(part, b, 2200);
-  assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+  assert.deepEqual(runsOn(world, 'job-000001/0'), ['a']);
   beat(part, a, 2300);
   beat(part, a, 2900);
   assert.equal(part.rebuilt, true);
   assert.equal(part.jobs.get('job-000001')?.placed.get(0)?.machine.record.name, 'a');
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('nobody starves: with a steady stream of newer small jobs, the large ones get their turn', () => {
@@ -216,12 +216,12 @@
     { name: 'a large array', large: { tasks: 40 }, withinS: 120 },
   ];
   for (const { name, large, withinS } of cases) {
-    const ground = new Ground();
+    const world = new World();
     const store = new Store();
     const names = ['a', 'b', 'c', 'd', 'e'];
     for (const n of names) store.add(machine(n));
     const part = partWith(store, 1, { startWithin: () => [10] });
-    const ws = names.map((n) => new FakeWorker(n, ground, RUN_MS, LEASE_MS, 0));
+    const ws = names.map((n) => new FakeWorker(n, world, RUN_MS, LEASE_MS, 0));
     let small = 100;
     const started = new Set<string>();
     let now = 0;
@@ -242,13 +242,13 @@
         if (j.saved.size === j.spec.tasks) store.jobs.delete(j.spec.uid);
       }
       part.sync(store, now);
-      for (const [task, on] of ground.on) {
+      for (const [task, on] of world.on) {
         if (task.startsWith('job-000099/') && on.size > 0) started.add(task);
       }
       if (started.size === (large?.tasks ?? 0)) break;
     }
     assert.equal(started.size, large?.tasks, `${name}: started by ${now} ms`);
-    assert.deepEqual(ground.broken, [], name);
+    assert.deepEqual(world.broken, [], name);
   }
 });
 
@@ -259,7 +259,7 @@
     job({ kind: 'gang', tasks: 4, checkpointS: 5, saveS: 2 }),
   );
   const part = partWith(store);
-  const ws = ['a', 'b'].map((n) => new FakeWorker(n, new Ground(), RUN_MS, LEASE_MS, 0));
+  const ws = ['a', 'b'].map((n) => new FakeWorker(n, new World(), RUN_MS, LEASE_MS, 0));
   for (const w of ws) part.beat(w.report(), 0, true);
   for (const w of ws) w.direct(part.term, 1, []);
   for (const w of ws) part.inspected(w.report(), 100);
@@ -287,15 +287,15 @@
 });
 
 test('a gang that is stopped to save is told as a whole', () => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(
     machine('a', { spot: true }),
     machine('b', { spot: true }),
     job({ kind: 'gang', tasks: 4, checkpointS: 5, saveS: 2 }),
   );
   const part = partWith(store);
-  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
-  const b = new FakeWorker('b', ground, RUN_MS, LEASE_MS, 0);
+  const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
+  const b = new FakeWorker('b', world, RUN_MS, LEASE_MS, 0);
   for (const t of [0, 600, 1200]) for (const w of [a, b]) beat(part, w, t);
   assert.equal(part.jobs.get('job-000001')?.placed.size, 4);
   a.noticeS = 10;
@@ -305,9 +305,9 @@
 });
 
 test('a machine that only answers commands gets nothing new, and is given back', () => {
-  const ground = new Ground();
+  const world = new World();
   const part = partWith(new Store().add(machine('a'), job({ tasks: 1 })));
-  const a = new FakeWorker('a', ground, RUN_MS, LEASE_MS, 0);
+  const a = new FakeWorker('a', world, RUN_MS, LEASE_MS, 0);
   beat(part, a, 0);
   // Answers to commands look like reports, but they renew no lease: all that starts is killed by it.
   const answers = (now: number) => {
@@ -325,13 +325,13 @@
 
 test('a record that goes without a return: what runs there is not started elsewhere before its lease ends', () => {
   for (const moved of [true, false]) {
-    const ground = new Ground();
+    const world = new World();
     const store = new Store().add(machine('a'), machine('b'), job());
     const part = partWith(store);
-    const a = new FakeWorker('a', ground, 10 * LEASE_MS, LEASE_MS, 0);
-    const b = new FakeWorker('b', ground, 10 * LEASE_MS, LEASE_MS, 0);
+    const a = new FakeWorker('a', world, 10 * LEASE_MS, LEASE_MS, 0);
+    const b = new FakeWorker('b', world, 10 * LEASE_MS, LEASE_MS, 0);
     for (let now = 0; now < 2 * REPORT_MS; now += REPORT_MS / 2) beat(part, a, now);
-    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['a']);
+    assert.deepEqual(runsOn(world, 'job-000001/0'), ['a']);
     if (moved) store.add(machine('a', { part: 1 }));
     else store.machines.delete('a');
     const from = 2 * REPORT_MS;
@@ -339,9 +339,9 @@
     for (let now = from; now < from + 2 * LEASE_MS; now += REPORT_MS / 2) {
       a.advance(now);
       beat(part, b, now);
-      assert.deepEqual(ground.broken, []);
+      assert.deepEqual(world.broken, []);
     }
-    assert.deepEqual(runsOn(ground, 'job-000001/0'), ['b'], 'in the end it runs again');
+    assert.deepEqual(runsOn(world, 'job-000001/0'), ['b'], 'in the end it runs again');
     assert.equal(part.machines.has('a'), false);
   }
 });
--- a/test/mixed-versions.test.ts
+++ b/test/mixed-versions.test.ts
@@ -110,7 +110,7 @@
     jobs: [],
     meet: async (c) => {
       const door = c.doors.get('n0')!;
-      await c.until('tasks run', 20, () => c.ground.started > 8);
+      await c.until('tasks run', 20, () => c.world.started > 8);
       c.kill('n0');
       door.slowWritesMs = 700;
       await c.start('n0', 'current');
@@ -242,30 +242,30 @@
   for (const row of ROWS) {
     test(row.name, async () => {
       const c = new Cluster({ runMs: 3000, leaseS: LEASE_S, cancelS: CANCEL_S, ...row.options });
-      for (const [uid, done] of row.completed ?? []) c.ground.completed.set(uid, new Set(done));
+      for (const [uid, done] of row.completed ?? []) c.world.completed.set(uid, new Set(done));
       const { seed = {} } = row.options ?? {};
       try {
         await c.open();
         const uids: string[] = [];
         for (const [i, body] of row.jobs.entries()) uids.push(await c.submit(`n${i % 3}`, body));
-        await c.until('some of it runs', 30, () => c.ground.started > 3);
+        await c.until('some of it runs', 30, () => c.world.started > 3);
         await row.meet(c, uids);
         for (const n of c.names) await c.until(`${n} is back`, 40, () => c.ready(n));
         const seeded = Object.keys(seed).flatMap((k) =>
           k.startsWith('active/') ? [k.slice('active/'.length)] : [],
         );
-        for (const uid of [...c.ground.jobs.keys(), ...seeded]) {
-          const end = c.ground.cancelledAt.has(uid) ? 'cancelled' : 'done';
+        for (const uid of [...c.world.jobs.keys(), ...seeded]) {
+          const end = c.world.cancelledAt.has(uid) ? 'cancelled' : 'done';
           for (const n of c.names) {
             await c.until(`${uid} ${end}`, 90, async () => (await c.statusOf(n, uid)) === end);
           }
         }
-        const cancelled = [...c.ground.cancelledAt.keys()];
+        const cancelled = [...c.world.cancelledAt.keys()];
         await c.until('cancelled tasks are gone', CANCEL_S + 2, () =>
           cancelled.every((uid) => c.running(uid) === 0),
         );
-        assert.deepEqual(c.ground.broken, []);
-        assert.equal(c.ground.startedCompleted, 0, 'no completed task is started again');
+        assert.deepEqual(c.world.broken, []);
+        assert.equal(c.world.startedCompleted, 0, 'no completed task is started again');
       } finally {
         c.close();
       }
