--- a/test/keeper.test.ts
+++ b/test/part-controller.test.ts
@@ -7,14 +7,14 @@
   ATTEMPTS_PER_TERM,
   HANDBACK_MS,
   HANDOVER_SETTLE_MS,
-  PASS_AFTER_MS,
+  TRANSFER_AFTER_MS,
   STATE_PAUSE_MS,
 } from '../src/constants.js';
 import { renewableMs } from '../src/core/cancellations.js';
-import { Keeper } from '../src/keeper.js';
+import { PartController } from '../src/parts/part-controller.js';
 import { StateTrouble, type Outcome } from '../src/state/client.js';
 import { encodeActive, encodeGroup } from '../src/state/keys.js';
-import { Mirror } from '../src/state/mirror.js';
+import { WatchCache } from '../src/state/watch-cache.js';
 import type { Write } from '../src/wire/schemas.js';
 import { job, machine, machineType, settings } from './helpers.js';
 
@@ -31,13 +31,13 @@
 
 /** A keeper that owns part 1, which belongs to a node that is back, and whose calls can be made to fail. */
 const scene = () => {
-  const mirror = new Mirror();
+  const cache = new WatchCache();
   const world = {
     now: 0,
     valid: true,
     knownUntil: Infinity,
-    /** what a current read finds; null: what the mirror shows */
-    current: null as { key: string; value: unknown; stamp: number } | null,
+    /** what a current read finds; null: what the cache shows */
+    current: null as { key: string; value: unknown; revision: number } | null,
     room: null as { part: number; tasks: number } | null,
     outcome: (writes: readonly Write[]): Outcome | StateTrouble => {
       void writes;
@@ -48,9 +48,13 @@
   const client = {
     get: (name: string) => {
       if (world.current !== null) return Promise.resolve(world.current);
-      const item = mirror.tables['active/'].get(name.slice('active/'.length));
+      const item = cache.tables['active/'].get(name.slice('active/'.length));
       if (item === undefined) return Promise.resolve({ missing: true as const, epoch: 0 });
-      return Promise.resolve({ key: name, value: encodeActive(item.value), stamp: item.stamp });
+      return Promise.resolve({
+        key: name,
+        value: encodeActive(item.value),
+        revision: item.revision,
+      });
     },
     transact: (_c: unknown, _w: unknown, writes: readonly Write[]) => {
       world.written.push([...writes]);
@@ -58,12 +62,12 @@
       return result instanceof StateTrouble ? Promise.reject(result) : Promise.resolve(result);
     },
   };
-  const keeper = new Keeper(
+  const partController = new PartController(
     CONFIG,
     parseOperator('', ''),
     'a',
     client,
-    mirror,
+    cache,
     { valid: () => world.valid, registeredAt: 1, validSince: -Infinity },
     () => Promise.resolve(),
     {
@@ -80,13 +84,13 @@
     () => 0,
     pino({ level: 'silent' }),
   );
-  const put = (key: string, value: unknown, stamp: number) => ({
+  const put = (key: string, value: unknown, revision: number) => ({
     key,
     value,
-    stamp,
+    revision,
     removed: false,
   });
-  mirror.apply({
+  cache.apply({
     fresh: true,
     epoch: 20,
     whole: 20,
@@ -100,65 +104,69 @@
       put('active/job-000001', encodeActive(job({}, 5, 1)), 13),
     ],
   });
-  keeper.tick();
-  return { keeper, mirror, world };
+  partController.tick();
+  return { partController, cache, world };
 };
 const settle = () => new Promise((resolve) => setImmediate(resolve));
 /** Lets the time come at which part 1 is given back. */
-const giveBack = async ({ keeper, world }: ReturnType<typeof scene>) => {
+const giveBack = async ({ partController, world }: ReturnType<typeof scene>) => {
   world.now = HANDBACK_MS;
-  keeper.tick();
+  partController.tick();
   await settle();
 };
 
 test('a handover that fails leaves the part as it was, with what it knows', async () => {
   const s = scene();
-  const before = s.keeper.owned.get(1)!.part;
+  const before = s.partController.owned.get(1)!.part;
   s.world.outcome = () => ({ ok: false, failed: ['term'] });
   await giveBack(s);
-  s.keeper.tick();
+  s.partController.tick();
   assert.ok(s.world.written.length > 0, 'it was tried');
-  assert.equal(s.keeper.owned.get(1)?.part, before, 'the same object, never a second one');
+  assert.equal(s.partController.owned.get(1)?.part, before, 'the same object, never a second one');
 });
 
 test('a handover without an answer: no acting until the part is taken under a new term', async () => {
   const s = scene();
   s.world.outcome = () => new StateTrouble('no_answer', 'lost');
   await giveBack(s);
-  s.keeper.tick();
-  assert.equal(s.keeper.owned.get(1)?.suspended, true);
+  s.partController.tick();
+  assert.equal(s.partController.owned.get(1)?.suspended, true);
   s.world.outcome = () => ({ ok: true, epoch: 60 });
   s.world.now += HANDOVER_SETTLE_MS + 1;
-  s.keeper.tick();
+  s.partController.tick();
   await settle();
-  assert.equal(s.mirror.tables['parts/'].get('1')?.value.term, 6);
-  s.mirror.apply({ fresh: false, changes: [], epoch: 60 });
-  s.keeper.tick();
-  assert.equal(s.keeper.owned.get(1)?.part.term, 6);
-  assert.equal(s.keeper.owned.get(1)?.part.rebuilt, false, 'and everything must answer first');
+  assert.equal(s.cache.tables['parts/'].get('1')?.value.term, 6);
+  s.cache.apply({ fresh: false, changes: [], epoch: 60 });
+  s.partController.tick();
+  assert.equal(s.partController.owned.get(1)?.part.term, 6);
+  assert.equal(
+    s.partController.owned.get(1)?.part.rebuilt,
+    false,
+    'and everything must answer first',
+  );
 });
 
 test('a part that was lost from sight is not built again under its term', async () => {
   const s = scene();
-  s.mirror.tables['parts/'].delete('1');
-  s.keeper.tick();
-  assert.equal(s.keeper.owned.has(1), false);
-  s.mirror.apply({
+  s.cache.tables['parts/'].delete('1');
+  s.partController.tick();
+  assert.equal(s.partController.owned.has(1), false);
+  s.cache.apply({
     fresh: false,
     epoch: 21,
     changes: [
       {
         key: 'parts/1',
         value: { owner: 'n0', incarnation: 'a', term: 5 },
-        stamp: 10,
+        revision: 10,
         removed: false,
       },
     ],
   });
-  s.keeper.tick();
-  assert.equal(s.keeper.owned.has(1), false);
+  s.partController.tick();
+  assert.equal(s.partController.owned.has(1), false);
   await settle();
-  assert.equal(s.mirror.tables['parts/'].get('1')?.value.term, 6, 'taken anew instead');
+  assert.equal(s.cache.tables['parts/'].get('1')?.value.term, 6, 'taken anew instead');
 });
 
 test('a worker of a suspended or lost part gets no answer that renews its lease for us', async () => {
@@ -175,11 +183,11 @@
     noticeS: null,
     tasks: [],
   };
-  assert.equal(s.keeper.beat(report).kind, 'answer');
+  assert.equal(s.partController.beat(report).kind, 'answer');
   s.world.outcome = () => new StateTrouble('no_answer', 'lost');
   await giveBack(s);
-  assert.equal(s.keeper.beat({ ...report, counter: 2 }).kind, 'unavailable');
-  assert.equal(s.keeper.beat({ ...report, machine: 'nobody' }).kind, 'unavailable');
+  assert.equal(s.partController.beat({ ...report, counter: 2 }).kind, 'unavailable');
+  assert.equal(s.partController.beat({ ...report, machine: 'nobody' }).kind, 'unavailable');
 });
 
 test('without authority running work keeps its lease, and nothing new starts', () => {
@@ -197,9 +205,9 @@
     tasks: [],
   });
   s.world.valid = false;
-  assert.deepEqual(s.keeper.beat(report(1)), { kind: 'answer', token: 5, commands: [] });
+  assert.deepEqual(s.partController.beat(report(1)), { kind: 'answer', token: 5, commands: [] });
   s.world.valid = true;
-  const reply = s.keeper.beat(report(2));
+  const reply = s.partController.beat(report(2));
   assert.equal(reply.kind === 'answer' ? reply.commands.length : 0, 1);
 });
 
@@ -220,33 +228,38 @@
     tasks,
   });
   const { cancelS, leaseS } = CONFIG.workers;
-  assert.equal(s.keeper.beat(report(1)).kind, 'answer');
+  assert.equal(s.partController.beat(report(1)).kind, 'answer');
   s.world.valid = false;
   s.world.knownUntil = 0;
   s.world.now = renewableMs(cancelS * 1000, leaseS * 1000);
-  assert.equal(s.keeper.beat(report(2)).kind, 'answer');
+  assert.equal(s.partController.beat(report(2)).kind, 'answer');
   s.world.now += 1;
-  assert.equal(s.keeper.beat(report(3)).kind, 'unavailable');
-  const m = s.keeper.owned.get(1)!.part.machines.get('x')!;
-  assert.equal(m.lastBeatAt, s.world.now, 'it is not taken for silent all the same');
-  s.mirror.learnCancelled({ uid: 'job-000001', tasks: 1, done: 0, epoch: 40 });
+  assert.equal(s.partController.beat(report(3)).kind, 'unavailable');
+  const m = s.partController.owned.get(1)!.part.machines.get('x')!;
+  assert.equal(m.lastHeartbeatAt, s.world.now, 'it is not taken for silent all the same');
+  s.cache.learnCancelled({ uid: 'job-000001', tasks: 1, done: 0, epoch: 40 });
   s.world.knownUntil = s.world.now;
-  s.keeper.tick();
-  const reply = s.keeper.beat(report(4));
+  s.partController.tick();
+  const reply = s.partController.beat(report(4));
   assert.deepEqual(reply.kind === 'answer' && reply.commands, [
     { op: 'stop', ...running, graceS: 0 },
   ]);
   // A listing or a change from before the cancellation does not bring the job back.
-  s.mirror.apply({
+  s.cache.apply({
     fresh: true,
     epoch: 30,
     whole: 30,
     changes: [
-      { key: 'active/job-000001', value: encodeActive(job({}, 5, 1)), stamp: 13, removed: false },
+      {
+        key: 'active/job-000001',
+        value: encodeActive(job({}, 5, 1)),
+        revision: 13,
+        removed: false,
+      },
     ],
   });
-  assert.equal(s.mirror.tables['active/'].has('job-000001'), false);
-  assert.equal(s.mirror.finals.get('job-000001')?.status, 'cancelled');
+  assert.equal(s.cache.tables['active/'].has('job-000001'), false);
+  assert.equal(s.cache.finals.get('job-000001')?.status, 'cancelled');
 });
 
 let lostValue: unknown = null;
@@ -255,28 +268,28 @@
   const stuck = async (outcome: (writes: readonly Write[]) => Outcome | StateTrouble) => {
     const s = scene();
     s.world.room = { part: 0, tasks: 2 };
-    s.keeper.tick();
-    s.world.now = PASS_AFTER_MS + 1;
+    s.partController.tick();
+    s.world.now = TRANSFER_AFTER_MS + 1;
     s.world.outcome = outcome;
-    s.keeper.tick();
+    s.partController.tick();
     await settle();
     return s;
   };
   const ranges = (s: ReturnType<typeof scene>) =>
-    s.mirror.tables['active/'].get('job-000001')?.value.ranges;
+    s.cache.tables['active/'].get('job-000001')?.value.ranges;
   const moved = [{ from: 0, to: 1, part: 0, era: 4 }];
 
   const good = await stuck(() => ({ ok: true, epoch: 50 }));
   assert.deepEqual(ranges(good), moved);
-  good.mirror.apply({ fresh: false, changes: [], epoch: 50 });
-  good.keeper.tick();
-  assert.equal(good.keeper.owned.get(1)?.part.jobs.size, 0, 'gone from here');
-  assert.equal(good.keeper.owned.get(0)?.part.waiting(), 1, 'and waits there');
+  good.cache.apply({ fresh: false, changes: [], epoch: 50 });
+  good.partController.tick();
+  assert.equal(good.partController.owned.get(1)?.part.jobs.size, 0, 'gone from here');
+  assert.equal(good.partController.owned.get(0)?.part.waiting(), 1, 'and waits there');
 
   const refused = await stuck(() => ({ ok: false, failed: ['active/job-000001'] }));
   await settle();
-  refused.keeper.tick();
-  assert.equal(refused.keeper.owned.get(1)?.part.waiting(), 1, 'still ours');
+  refused.partController.tick();
+  assert.equal(refused.partController.owned.get(1)?.part.waiting(), 1, 'still ours');
 
   // The first try was carried out, but its answer got lost; the second one meets a conflict.
   let tries = 0;
@@ -289,10 +302,14 @@
     }
     return { ok: false, failed: ['active/job-000001'] };
   });
-  lost.world.current = { key: 'active/job-000001', value: lostValue, stamp: 40 };
+  lost.world.current = { key: 'active/job-000001', value: lostValue, revision: 40 };
   await new Promise((resolve) => setTimeout(resolve, STATE_PAUSE_MS + 200));
   assert.equal(tries, 2);
   assert.deepEqual(ranges(lost), moved, 'only the present record tells');
-  lost.keeper.tick();
-  assert.equal(lost.keeper.owned.get(1)?.part.waiting() ?? 0, 0, 'not brought back as fresh');
+  lost.partController.tick();
+  assert.equal(
+    lost.partController.owned.get(1)?.part.waiting() ?? 0,
+    0,
+    'not brought back as fresh',
+  );
 });
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -4,11 +4,11 @@
 import type { Command } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 const RUN_MS = 60_000;
-const workers = (names: string[], ground = new Ground(), over: { zone?: string }[] = []) =>
-  names.map((n, i) => new FakeWorker(n, ground, RUN_MS, LEASE_MS, 0, over[i]?.zone));
+const workers = (names: string[], world = new World(), over: { zone?: string }[] = []) =>
+  names.map((n, i) => new FakeWorker(n, world, RUN_MS, LEASE_MS, 0, over[i]?.zone));
 
 /** One report and its answer; the commands that were given. */
 const beat = (part: Part, w: FakeWorker, now: number, mayStart = true): readonly Command[] => {
@@ -119,9 +119,9 @@
 });
 
 test('a silent machine: its tasks go elsewhere only when its lease has surely run out', () => {
-  const ground = new Ground();
+  const world = new World();
   const part = partWith(new Store().add(machine('a'), machine('b'), job()));
-  const [a, b] = workers(['a', 'b'], ground);
+  const [a, b] = workers(['a', 'b'], world);
   beat(part, a!, 0);
   beat(part, a!, 600);
   beat(part, b!, 600);
@@ -134,14 +134,14 @@
   a!.advance(late);
   part.age(late);
   assert.deepEqual(starts(beat(part, b!, late)), ['job-000001/0']);
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('a new owner starts nothing inherited before every machine answered or was returned', () => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(machine('a'), machine('b'), job());
   const old = partWith(store, 1);
-  const [a, b] = workers(['a', 'b'], ground);
+  const [a, b] = workers(['a', 'b'], world);
   beat(old, a!, 0);
   beat(old, a!, 600);
   assert.deepEqual(running(a!), ['job-000001/0']);
@@ -155,7 +155,7 @@
   a!.vanish();
   returned.machineGone('a', 9700);
   assert.deepEqual(starts(beat(returned, b!, 10_200)), ['job-000001/0']);
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('a new owner takes running tasks into its books instead of starting them again', () => {
@@ -183,9 +183,9 @@
 });
 
 test('a direct start without an answer is never given elsewhere, nor forgotten by its worker', () => {
-  const ground = new Ground();
+  const world = new World();
   const part = partWith(new Store().add(machine('a'), machine('b'), job()));
-  const [a, b] = workers(['a', 'b'], ground);
+  const [a, b] = workers(['a', 'b'], world);
   for (const w of [a!, b!]) beat(part, w, 0);
   for (const w of [a!, b!]) part.inspected(w.report(), 100);
   part.placeAll(200);
@@ -202,7 +202,7 @@
   assert.equal(target.tasks.size, 1, 'the ended attempt stays listed');
   target.direct(part.term, target.session, direct!.commands);
   assert.deepEqual(running(target), [], 'so the late command finds it and does nothing');
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('a direct start that surely never left may be given elsewhere', () => {
@@ -270,7 +270,7 @@
     job({ kind: 'gang', tasks: 4, oneZone: true }),
   );
   const part = partWith(store);
-  const [a, b, c] = workers(['a', 'b', 'c'], new Ground(), [{ zone: 'y' }, {}, {}]);
+  const [a, b, c] = workers(['a', 'b', 'c'], new World(), [{ zone: 'y' }, {}, {}]);
   for (const w of [a!, b!, c!]) beat(part, w, 0);
   const given = [a!, b!, c!].flatMap((w) => beat(part, w, 600));
   const more = [a!, b!, c!].flatMap((w) => beat(part, w, 1200));
@@ -282,7 +282,7 @@
 });
 
 test('a gang that lost a task restarts only when all of it is gone', () => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(
     machine('a'),
     machine('b'),
@@ -290,7 +290,7 @@
     job({ kind: 'gang', tasks: 4 }),
   );
   const part = partWith(store);
-  const [a, b, c] = workers(['a', 'b', 'c'], ground);
+  const [a, b, c] = workers(['a', 'b', 'c'], world);
   for (const w of [a!, b!]) beat(part, w, 0);
   for (const w of [a!, b!]) beat(part, w, 600);
   for (const w of [a!, b!]) beat(part, w, 1200);
@@ -303,7 +303,7 @@
   beat(part, a!, 3600);
   const again = [...starts(beat(part, c!, 4200)), ...running(a!)];
   assert.ok(again.length >= 2);
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('preemption: lower rank makes room, equal rank does not', () => {
@@ -395,20 +395,20 @@
     const [a] = workers(['a']);
     if (machines > 0) for (const t of [0, 600, 1200]) beat(part, a!, t);
     const state = part.jobs.get('job-000001')!;
-    const found = part.passable(state, record);
+    const found = part.transferable(state, record);
     assert.deepEqual(found === null ? null : [found.from, found.range.to], want, name);
     if (found === null) continue;
-    part.beginPass(state, found.from, found.range.to);
+    part.beginTransfer(state, found.from, found.range.to);
     part.placeAll(2000);
     assert.equal(state.waiting.length, 0, 'nothing of it starts meanwhile');
-    assert.equal(part.passable(state, record), null, 'nor passes twice');
-    part.endPass(state, false, 3000);
+    assert.equal(part.transferable(state, record), null, 'nor passes twice');
+    part.endTransfer(state, false, 3000);
     assert.equal(state.waiting.length, found.range.to - found.from, 'a refusal brings it back');
   }
   const inherited = job({ tasks: 2 }, 1);
   const later = partWith(new Store().add(inherited, machine('a')), 2);
   const state = later.jobs.get('job-000001')!;
-  assert.equal(later.passable(state, inherited), null, 'it may be running on a silent machine');
+  assert.equal(later.transferable(state, inherited), null, 'it may be running on a silent machine');
 });
 
 // A machine emptied for a gang stood idle for 24 s after the gang had found room elsewhere.
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -6,7 +6,7 @@
 import type { Part } from '../src/core/part.js';
 import { randomFrom } from '../src/random.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
-import { CANCEL_MS, FakeWorker, Ground } from './standins/worker.js';
+import { CANCEL_MS, FakeWorker, World } from './standins/worker.js';
 
 /**
  * Owners come and go, some within a fraction of a second; answers get lost, direct commands arrive
@@ -39,7 +39,7 @@
 const play = (seed: number) => {
   const random = randomFrom(seed);
   const chance = (percent: number) => random(1000) < percent * 10;
-  const ground = new Ground();
+  const world = new World();
   const store = new Store();
   let term = 1;
   let part: Part = partWith(store, term);
@@ -48,7 +48,7 @@
   const workers = new Map<string, FakeWorker>();
   const silentUntil = new Map<string, number>();
   /** machines whose reports arrive while nothing reaches them */
-  const deafUntil = new Map<string, number>();
+  const noTakeoverUntil = new Map<string, number>();
   /** machines that reach no owner, while commands reach them */
   const muteUntil = new Map<string, number>();
   /** saves without an answer, carried out later */
@@ -73,7 +73,7 @@
     for (const j of [...part.jobs.values()]) {
       const { uid, tasks, kind } = j.spec;
       if (kind === 'service') {
-        if (j.saved.size + j.unsaved.size > 0) ground.broken.push(`service done ${uid}`);
+        if (j.saved.size + j.unsaved.size > 0) world.broken.push(`service done ${uid}`);
         continue;
       }
       const saving = [...j.unsaved];
@@ -104,13 +104,13 @@
           // Called off in the moment of its end: the cancellation comes first.
           cancelledAtEnd += 1;
           store.jobs.delete(uid);
-          ground.cancelledAt.set(uid, now);
+          world.cancelledAt.set(uid, now);
           continue;
         }
-        const done = ground.completed.get(uid)?.size ?? 0;
+        const done = world.completed.get(uid)?.size ?? 0;
         // The tasks of a gang complete together: one that is done speaks for all.
         const needed = j.spec.kind === 'gang' ? 1 : tasks;
-        if (done < needed) ground.broken.push(`not_done ${uid}`);
+        if (done < needed) world.broken.push(`not_done ${uid}`);
         store.jobs.delete(uid);
       }
     }
@@ -120,7 +120,7 @@
     if (workers.size < 4) {
       machines += 1;
       const name = `m${machines}`;
-      const worker = new FakeWorker(name, ground, 4000 + random(20_000), LEASE_MS, now);
+      const worker = new FakeWorker(name, world, 4000 + random(20_000), LEASE_MS, now);
       worker.faulty = chance(5);
       workers.set(name, worker);
       store.add(machine(name, { era: term }));
@@ -137,10 +137,10 @@
       const uid = [...store.jobs.keys()][random(store.jobs.size)];
       if (uid !== undefined) {
         store.jobs.delete(uid);
-        ground.cancelledAt.set(uid, now);
+        world.cancelledAt.set(uid, now);
         // Users call it off, and its machines hang in that moment.
         if (chance(40)) {
-          for (const [task, on] of ground.on) {
+          for (const [task, on] of world.on) {
             if (!task.startsWith(`${uid}/`)) continue;
             for (const name of on) hungUntil.set(name, now + random(30_000));
           }
@@ -182,7 +182,7 @@
         continue;
       }
       // What a deaf machine is told has no answer, and never arrives.
-      if ((deafUntil.get(worker.name) ?? 0) > now) continue;
+      if ((noTakeoverUntil.get(worker.name) ?? 0) > now) continue;
       if (worker.hung || (silentUntil.get(worker.name) ?? 0) > now) {
         part.directSettled(starts, false);
         continue;
@@ -207,7 +207,7 @@
       if (chance(0.2)) muteUntil.set(name, now + random(40_000));
       if (chance(0.3)) silentUntil.set(name, now + random(30_000));
       if (chance(0.3)) {
-        deafUntil.set(name, now + random(40_000));
+        noTakeoverUntil.set(name, now + random(40_000));
         deafened += 1;
       }
       if (w.hung || (silentUntil.get(name) ?? 0) > now) continue;
@@ -223,11 +223,11 @@
       const result = owner.beat(r, now, owner === part, owner === part || renewable);
       if (result.kind !== 'answer') continue;
       // Some answers get lost on the way back, and all of those to a deaf machine.
-      if ((deafUntil.get(name) ?? 0) > now) continue;
+      if ((noTakeoverUntil.get(name) ?? 0) > now) continue;
       if (!chance(15)) w.answered(owner.term, result.commands, now, r.session);
     }
     for (const m of [...part.machines.values()]) {
-      if (!part.isLost(m, now) && !part.isDeaf(m, now) && !m.condemned) continue;
+      if (!part.isLost(m, now) && !part.ignoresCommands(m, now) && !m.condemned) continue;
       m.returning = true;
       if (chance(50)) continue;
       workers.get(m.record.name)?.vanish();
@@ -240,15 +240,15 @@
       lateSaves.splice(lateSaves.indexOf(l), 1);
       l.save();
     }
-    ground.check(now);
-    if (ground.broken.length > 0) break;
+    world.check(now);
+    if (world.broken.length > 0) break;
   }
   // Nothing that was accepted and not called off is forgotten.
   for (const uid of store.jobs.keys()) {
-    if (!part.jobs.has(uid)) ground.broken.push(`forgotten ${uid}`);
+    if (!part.jobs.has(uid)) world.broken.push(`forgotten ${uid}`);
   }
   return {
-    ground,
+    world,
     copied,
     deafened,
     cancelledAtEnd,
@@ -268,20 +268,20 @@
   let keptDelivered = 0;
   let lostAnswers = 0;
   for (let seed = 1; seed <= 60; seed++) {
-    const { ground, ...seen } = play(seed);
-    assert.deepEqual(ground.broken, [], `seed ${seed}`);
+    const { world, ...seen } = play(seed);
+    assert.deepEqual(world.broken, [], `seed ${seed}`);
     copied += seen.copied;
     deafened += seen.deafened;
     cancelledAtEnd += seen.cancelledAtEnd;
     servicesStarted += seen.servicesStarted;
     keptDelivered += seen.keptDelivered;
     lostAnswers += seen.lostAnswers;
-    started += ground.started;
-    for (const done of ground.completed.values()) completed += done.size;
+    started += world.started;
+    for (const done of world.completed.values()) completed += done.size;
   }
   assert.ok(started > 2000, `only ${started} starts: the day tests nothing`);
   assert.ok(completed > 1000, `only ${completed} completions`);
   assert.ok(cancelledAtEnd > 20 && servicesStarted > 100, `${cancelledAtEnd} ${servicesStarted}`);
   assert.ok(keptDelivered > 100 && lostAnswers > 50, `${keptDelivered} ${lostAnswers}`);
-  assert.ok(copied > 1000 && deafened > 100, `${copied} copies, ${deafened} deaf machines`);
+  assert.ok(copied > 1000 && deafened > 100, `${copied} copies, ${deafened} losesAnswers machines`);
 });
--- a/test/service-faults.test.ts
+++ b/test/service-faults.test.ts
@@ -32,7 +32,7 @@
   readonly within: number;
 }
 
-const reachable = (h: WorkerHost) => !h.worker.hung && !h.mute && !h.deaf;
+const reachable = (h: WorkerHost) => !h.worker.hung && !h.losesReports && !h.losesAnswers;
 
 const onHost = (h: WorkerHost, uid: string): number =>
   [...h.worker.tasks.values()].filter((t) => t.uid === uid && t.state === 'running').length;
@@ -56,9 +56,9 @@
 
 const MACHINE_FAULTS: [string, (h: WorkerHost) => void][] = [
   ['hangs', (h) => (h.worker.hung = true)],
-  ['reaches no controller', (h) => (h.mute = true)],
-  ['hears nothing', (h) => (h.deaf = true)],
-  ['is cut off both ways', (h) => (h.mute = h.deaf = true)],
+  ['reaches no controller', (h) => (h.losesReports = true)],
+  ['hears nothing', (h) => (h.losesAnswers = true)],
+  ['is cut off both ways', (h) => (h.losesReports = h.losesAnswers = true)],
 ];
 
 const ROWS: Row[] = [
@@ -114,12 +114,12 @@
     service: { ...REPLICA, Spread: true, Pieces: 6 },
     fault: async (c, uid) => {
       const cut = c.hosts().filter((h) => h.worker.zone === 'y');
-      for (const h of cut) h.mute = h.deaf = true;
+      for (const h of cut) h.losesReports = h.losesAnswers = true;
       for (let t = 0; t < 4; t++) {
         await c.pass(1);
         assert.ok(served(c, uid) >= 3, 'the other zone serves its half');
       }
-      for (const h of cut) h.mute = h.deaf = false;
+      for (const h of cut) h.losesReports = h.losesAnswers = false;
     },
     within: 3 * LEASE_S,
   },
@@ -139,12 +139,12 @@
     name: 'every controller is started again, one after the other',
     service: { ...REPLICA, Pieces: 4 },
     fault: async (c, uid) => {
-      const { started } = c.ground;
+      const { started } = c.world;
       for (const n of c.names) {
         await c.replace(n, 'current');
         assert.equal(c.running(uid), 4);
       }
-      assert.equal(c.ground.started, started);
+      assert.equal(c.world.started, started);
     },
     within: 1,
   },
@@ -169,12 +169,12 @@
       };
       spoil();
       for (const h of carrying(c, uid)) c.cloud.kill(h.worker.name);
-      const { started } = c.ground;
+      const { started } = c.world;
       for (let t = 0; t < 24; t++) {
         await c.pass(0.5);
         spoil();
       }
-      assert.ok(c.ground.started - started < 40, 'the pauses grow');
+      assert.ok(c.world.started - started < 40, 'the pauses grow');
       for (const h of c.hosts()) h.worker.faulty = false;
     },
     within: 6 * LEASE_S,
@@ -189,7 +189,7 @@
   try {
     await c.open();
     await work(c);
-    assert.deepEqual(c.ground.broken, []);
+    assert.deepEqual(c.world.broken, []);
   } finally {
     c.close();
   }
@@ -221,7 +221,7 @@
   test('replicas that end by themselves again and again: never done, run again', async () => {
     await withCluster({ runMs: 700 }, async (c) => {
       const uid = await c.submit('n0', { ...REPLICA, Pieces: 2 });
-      await c.until('they have run again', 40, () => c.ground.started >= 6);
+      await c.until('they have run again', 40, () => c.world.started >= 6);
       for (const n of c.names) {
         assert.ok(['queued', 'running'].includes(await c.statusOf(n, uid)));
       }
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -7,7 +7,7 @@
 const LEASE_S = 4;
 
 const c = new Cluster({ runMs: 1500, leaseS: LEASE_S, cancelS: 8 });
-const { names: NAMES, ground, state } = c;
+const { names: NAMES, world, state } = c;
 const until = c.until.bind(c);
 const call = c.call.bind(c);
 const statusOf = c.statusOf.bind(c);
@@ -32,7 +32,7 @@
       assert.equal((a.body as { Status: string }).Status, 'done');
     }
   }
-  assert.equal(ground.completed.get(body.Uid)?.size, 4);
+  assert.equal(world.completed.get(body.Uid)?.size, 4);
 });
 
 test('refusals: table', async () => {
@@ -51,11 +51,11 @@
 
 test('a cancelled job is cancelled at every node, and its tasks are gone soon', async () => {
   const uid = await submit('n0', { Pieces: 40 });
-  await until('some of it runs', 20, () => [...ground.on.keys()].some((k) => k.startsWith(uid)));
+  await until('some of it runs', 20, () => [...world.on.keys()].some((k) => k.startsWith(uid)));
   const a = await call('n2', 'POST', `/submissions/${uid}/withdraw`);
   assert.deepEqual([a.status, (a.body as { Status: string }).Status], [200, 'cancelled']);
   for (const n of NAMES) assert.equal(await statusOf(n, uid), 'cancelled');
-  const running = () => [...ground.on].some(([k, m]) => k.startsWith(uid) && m.size > 0);
+  const running = () => [...world.on].some(([k, m]) => k.startsWith(uid) && m.size > 0);
   await until('its tasks are gone', 5, () => !running());
   await sleep(1000);
   assert.equal(running(), false);
@@ -115,7 +115,7 @@
   await until('n2 ready', 20, ready('n2'));
   await done('n2', await submit('n2'));
   for (const uid of uids) assert.equal(await statusOf('n2', uid), 'done');
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('a node is back within a fraction of a second, also in the middle of a takeover', async () => {
@@ -134,7 +134,7 @@
   for (const uid of uids) await done('n2', uid, 40);
   await until('n1 ready', 10, ready('n1'));
   await done('n1', await submit('n1'));
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
 
 test('machines die, and an answer of the cloud gets lost', async () => {
@@ -149,6 +149,6 @@
 test('no rule was broken, and machines with nothing to do go back', async () => {
   // Rates of arrival, and with them the reserve, fade over minutes; on a busy machine all of it takes longer.
   await until('all returned', 120, () => c.cloud.machines.size === 0);
-  assert.deepEqual(ground.broken, []);
-  assert.ok(ground.started > 60);
+  assert.deepEqual(world.broken, []);
+  assert.ok(world.started > 60);
 });
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -4,7 +4,7 @@
 import type { Part } from '../src/core/part.js';
 import { REPLICA_WELL_MS } from '../src/constants.js';
 import { job, LEASE_MS, machine, machineType, partWith, settings, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 /** Standing services: replicas that run until the job is cancelled, whatever becomes of machines. */
 const FOREVER = 1e12;
@@ -35,11 +35,11 @@
   });
 
 const scene = (names: readonly string[], over: Parameters<typeof job>[0] = {}, runMs = FOREVER) => {
-  const ground = new Ground();
+  const world = new World();
   const store = new Store().add(...names.map((n) => machine(n)));
   const part = partWith(store);
   const workers = new Map(
-    names.map((n) => [n, new FakeWorker(n, ground, runMs, LEASE_MS, -2 * REPORT_MS)] as const),
+    names.map((n) => [n, new FakeWorker(n, world, runMs, LEASE_MS, -2 * REPORT_MS)] as const),
   );
   const beat = (now: number, who: readonly string[] = names) => {
     part.age(now);
@@ -59,8 +59,8 @@
   run(-2 * REPORT_MS, -1);
   store.add(service(over));
   part.sync(store, 0);
-  const on = (n: string) => [...ground.on].filter(([, m]) => m.has(n)).length;
-  return { ground, store, part, workers, beat, run, on };
+  const on = (n: string) => [...world.on].filter(([, m]) => m.has(n)).length;
+  return { world, store, part, workers, beat, run, on };
 };
 
 test('replicas are not all put on one machine, as long as others have room', () => {
@@ -75,7 +75,7 @@
     s.run(0, 4 * REPORT_MS);
     assert.equal(s.part.jobs.get(UID)?.placed.size, tasks);
     for (const n of names) assert.ok(s.on(n) <= most, `${tasks} on ${names.length}: ${s.on(n)}`);
-    assert.deepEqual(s.ground.broken, []);
+    assert.deepEqual(s.world.broken, []);
   }
 });
 
@@ -85,9 +85,9 @@
   const state = s.part.jobs.get(UID)!;
   assert.equal(state.saved.size + state.unsaved.size, 0);
   assert.equal(state.over, false);
-  assert.ok(s.ground.started > 4, `${s.ground.started} starts`);
-  assert.ok(s.ground.started < 60, `${s.ground.started} starts: the pauses do not grow`);
-  assert.deepEqual(s.ground.broken, []);
+  assert.ok(s.world.started > 4, `${s.world.started} starts`);
+  assert.ok(s.world.started < 60, `${s.world.started} starts: the pauses do not grow`);
+  assert.deepEqual(s.world.broken, []);
   // One that was well for a while starts again at once.
   const now = 60 * REPORT_MS + 2 * REPLICA_WELL_MS;
   assert.ok(now - state.failedAt > REPLICA_WELL_MS);
@@ -104,13 +104,13 @@
   const s = scene(['a', 'b', 'c'], { tasks: 1 });
   for (const w of s.workers.values()) w.faulty = true;
   s.run(0, 40 * REPORT_MS);
-  const before = s.ground.started;
+  const before = s.world.started;
   assert.ok(before >= 3 && before < 30, `${before} starts`);
   for (const w of s.workers.values()) w.faulty = false;
   s.part.machines.forEach((m) => (m.condemned = false));
   s.run(41 * REPORT_MS, 41 * REPORT_MS + 90_000);
   assert.equal(s.part.jobs.get(UID)?.placed.size, 1, 'it runs within 90 s once a machine is well');
-  assert.deepEqual(s.ground.broken, []);
+  assert.deepEqual(s.world.broken, []);
 });
 
 test('a silent machine with replicas is returned sooner, and only then they run elsewhere', () => {
@@ -130,7 +130,7 @@
   s.part.machineGone(lost, now);
   s.run(now + 1, now + 3 * REPORT_MS, [other]);
   assert.equal(s.on(other), 2);
-  assert.deepEqual(s.ground.broken, []);
+  assert.deepEqual(s.world.broken, []);
 });
 
 test('a machine about to go loses its replicas at once, and they run elsewhere', () => {
@@ -139,7 +139,7 @@
   s.workers.get('a')!.noticeS = 8;
   s.run(3 * REPORT_MS + 1, 5 * REPORT_MS);
   assert.deepEqual([s.on('a'), s.on('b')], [0, 2]);
-  assert.deepEqual(s.ground.broken, []);
+  assert.deepEqual(s.world.broken, []);
 });
 
 test('a machine with a replica does not count as idle; a condemned one is emptied first', () => {
@@ -160,7 +160,7 @@
 test('a new owner takes running replicas into its books and stops none', () => {
   const s = scene(['a', 'b'], { tasks: 3 });
   s.run(0, 3 * REPORT_MS);
-  const { started } = s.ground;
+  const { started } = s.world;
   const part = partWith(s.store, 2, {}, 4 * REPORT_MS);
   for (let now = 4 * REPORT_MS; now < 8 * REPORT_MS; now += REPORT_MS / 2) {
     part.placeAll(now);
@@ -172,8 +172,8 @@
     }
   }
   assert.equal(part.jobs.get(UID)?.placed.size, 3);
-  assert.equal(s.ground.started, started);
-  assert.deepEqual(s.ground.broken, []);
+  assert.equal(s.world.started, started);
+  assert.deepEqual(s.world.broken, []);
 });
 
 test('cancelled replicas are stopped, and nothing starts again', () => {
@@ -181,10 +181,10 @@
   s.run(0, 3 * REPORT_MS);
   s.store.jobs.delete(UID);
   s.part.sync(s.store, 3 * REPORT_MS);
-  s.ground.cancelledAt.set(UID, 3 * REPORT_MS);
+  s.world.cancelledAt.set(UID, 3 * REPORT_MS);
   s.run(3 * REPORT_MS + 1, 8 * REPORT_MS);
   assert.equal(s.on('a') + s.on('b'), 0);
-  assert.equal(s.ground.startedCancelled, 0);
+  assert.equal(s.world.startedCancelled, 0);
   assert.equal(s.part.jobs.has(UID), false);
 });
 
@@ -195,10 +195,10 @@
   ] as const) {
     const whole = { cpus: 8, gpus: 2, memoryGb: 8 };
     const other = job({ uid: 'job-000002', priority, demand: whole });
-    const ground = new Ground();
+    const world = new World();
     const store = new Store().add(machine('a'), other);
     const part = partWith(store);
-    const a = new FakeWorker('a', ground, FOREVER, LEASE_MS, 0);
+    const a = new FakeWorker('a', world, FOREVER, LEASE_MS, 0);
     for (let now = 0; now < 8 * REPORT_MS; now += REPORT_MS / 2) {
       if (now === 2 * REPORT_MS) {
         store.add(service());
@@ -210,7 +210,7 @@
       const result = part.beat(r, now, true);
       if (result.kind === 'answer') a.answered(part.term, result.commands, now, r.session);
     }
-    assert.equal(ground.on.get(`${UID}/0`)?.size ?? 0, room ? 1 : 0, priority);
+    assert.equal(world.on.get(`${UID}/0`)?.size ?? 0, room ? 1 : 0, priority);
   }
 });
 
@@ -232,10 +232,10 @@
   ];
   for (const [name, over, machines, zones] of cases) {
     const store = new Store().add(...machines);
-    const ground = new Ground();
+    const world = new World();
     const part = partWith(store);
     const workers = machines.map((m) => {
-      return new FakeWorker(m.name, ground, FOREVER, LEASE_MS, 0, m.zone);
+      return new FakeWorker(m.name, world, FOREVER, LEASE_MS, 0, m.zone);
     });
     const beat = (now: number) => {
       part.placeAll(now);
@@ -262,7 +262,7 @@
     if (zones.length === 0) assert.deepEqual(rented, [], name);
     else
       assert.ok(rented.length > 0 && rented.every((z) => zones.includes(z)), `${name}: ${rented}`);
-    assert.deepEqual(ground.broken, [], name);
+    assert.deepEqual(world.broken, [], name);
   }
 });
 
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -4,7 +4,7 @@
 import { shareSockets } from '../src/sockets.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
 import { StandInServer } from './standins/server.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 /** A survivor that takes over every part must neither run out of sockets nor leave any use without. */
 const QUOTAS: { most: number; peers: number; workers: number }[] = [
@@ -26,9 +26,9 @@
   const names = Array.from({ length: 30 }, (_, i) => `m${i}`);
   const store = new Store().add(...names.map((n) => machine(n)));
   const part = partWith(store);
-  const ground = new Ground();
+  const world = new World();
   for (const n of names) {
-    const w = new FakeWorker(n, ground, 1000, LEASE_MS, 0, 'z', 'm', `${n}:1`);
+    const w = new FakeWorker(n, world, 1000, LEASE_MS, 0, 'z', 'm', `${n}:1`);
     w.token = 1;
     part.beat(w.report(), 0, true);
   }
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -2,7 +2,7 @@
 import { CborClient } from '../../src/http.js';
 import type { Report } from '../../src/core/model.js';
 import { StandInServer, type Reply, type Request } from './server.js';
-import { FakeWorker, type Ground } from './worker.js';
+import { FakeWorker, type World } from './worker.js';
 
 const STATES = { running: 'running', exited: 'ended' } as const;
 
@@ -42,9 +42,9 @@
   worker!: FakeWorker;
   at = 0;
   /** its reports reach no node, direct commands reach it */
-  mute = false;
+  losesReports = false;
   /** its reports arrive, nothing that it is told does */
-  deaf = false;
+  losesAnswers = false;
   /** ms that direct commands are held up before they are carried out */
   heldMs = 0;
   /** the only node that it reaches, and that reaches it; null: all */
@@ -66,7 +66,7 @@
   }
 
   async #command(r: Request): Promise<Reply> {
-    if (this.deaf || this.worker.hung || this.only !== null) return 'hang';
+    if (this.losesAnswers || this.worker.hung || this.only !== null) return 'hang';
     if (this.heldMs > 0) await sleep(this.heldMs);
     const body = r.body as { Mandate: number; Tenure: number; Orders: WireOrder[] };
     this.worker.advance(Date.now());
@@ -76,7 +76,7 @@
   }
 
   async #beat(nodes: readonly [string, string][]): Promise<void> {
-    if (this.mute || this.worker.hung) {
+    if (this.losesReports || this.worker.hung) {
       this.worker.advance(Date.now());
       return;
     }
@@ -91,8 +91,12 @@
     if (this.copyMs !== null) this.#copyLater(nodes, report, this.copyMs);
     try {
       const answer = await client.call('POST', '/agent/beat', toWire(report), 1000);
-      const body = answer.body as { Mandate?: number; Orders?: WireOrder[]; ReportsTo?: string };
-      if (this.#stopped || this.deaf || this.worker.hung) return;
+      const body = answer.body as {
+        Mandate?: number;
+        Orders?: WireOrder[];
+        ReportsTo?: string;
+      };
+      if (this.#stopped || this.losesAnswers || this.worker.hung) return;
       if (answer.status === 200) {
         const orders = (body.Orders ?? []).map(fromWire);
         this.worker.advance(Date.now());
@@ -159,7 +163,7 @@
   most = Infinity;
 
   constructor(
-    private readonly ground: Ground,
+    private readonly world: World,
     private readonly nodes: readonly [string, string][],
     private readonly runMs: number | ((index: number) => number),
     private readonly leaseMs: number,
@@ -217,11 +221,11 @@
     const host = new WorkerHost();
     await host.start((address) => {
       const now = Date.now();
-      const { ground, runMs, leaseMs } = this;
-      return new FakeWorker(name, ground, runMs, leaseMs, now, zone, 'm', address, spot);
+      const { world, runMs, leaseMs } = this;
+      return new FakeWorker(name, world, runMs, leaseMs, now, zone, 'm', address, spot);
     }, this.nodes);
     host.at = this.#count % this.nodes.length;
-    this.ground.zoneOf.set(name, zone);
+    this.world.zoneOf.set(name, zone);
     this.machines.set(name, host);
     return name;
   }
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -8,8 +8,8 @@
 import { FakeCloud, type WorkerHost } from './cloud.js';
 import { createController, type Controller, type Version } from './controllers.js';
 import { Link } from './link.js';
-import { FakeState, StateDoor } from './state.js';
-import { Ground } from './worker.js';
+import { FakeStateService, StateDoor } from './state.js';
+import { World } from './worker.js';
 
 /** Below the ports that the system hands out, so that nobody is given one between two lives of a node. */
 let nextPort = 10_000 + ((process.pid * 61) % 20_000);
@@ -50,9 +50,9 @@
 /** Whole controllers on loopback, each way between them and to the state service open to trouble. */
 export class Cluster {
   readonly names = ['n0', 'n1', 'n2'];
-  readonly state = new FakeState();
+  readonly state = new FakeStateService();
   readonly doors = new Map<string, StateDoor>();
-  readonly ground: Ground;
+  readonly world: World;
   cloud!: FakeCloud;
   readonly #controllers = new Map<string, Controller>();
   /** by node, its last life on its way out */
@@ -67,7 +67,7 @@
   #count = 0;
 
   constructor(readonly options: ClusterOptions) {
-    this.ground = new Ground(options.cancelS * 1000);
+    this.world = new World(options.cancelS * 1000);
   }
 
   async open(): Promise<void> {
@@ -83,8 +83,8 @@
       this.doors.set(n, door);
     }
     const { runMs, leaseS, cancelS, teams = [], zones = ['z'], stateLimits } = this.options;
-    for (const t of teams) if (t.cpusMax > 0) this.ground.limits.set(t.name, t.cpusMax);
-    this.cloud = new FakeCloud(this.ground, [...listen], runMs, leaseS * 1000, zones);
+    for (const t of teams) if (t.cpusMax > 0) this.world.limits.set(t.name, t.cpusMax);
+    this.cloud = new FakeCloud(this.world, [...listen], runMs, leaseS * 1000, zones);
     await this.cloud.start();
     for (const node of this.names) {
       const toState = new Link();
@@ -168,7 +168,7 @@
     const end = Date.now() + seconds * 1000;
     while (!(await check())) {
       assert.ok(Date.now() < end, `not within ${seconds} s: ${what}`);
-      this.ground.check(Date.now());
+      this.world.check(Date.now());
       await sleep(100);
     }
   }
@@ -178,7 +178,7 @@
     const end = Date.now() + seconds * 1000;
     while (Date.now() < end) {
       await sleep(100);
-      this.ground.check(Date.now());
+      this.world.check(Date.now());
     }
   }
 
@@ -193,11 +193,11 @@
     const status = a?.status === 200 ? (a.body as { Status: string }).Status : String(a?.status);
     const before = this.#ended.get(uid);
     if (before !== undefined && before !== status && (a?.status === 200 || a?.status === 404)) {
-      this.ground.broken.push(`went_back ${uid}: ${before}, then ${status} at ${node}`);
+      this.world.broken.push(`went_back ${uid}: ${before}, then ${status} at ${node}`);
     }
-    const tasks = this.ground.jobs.get(uid)?.tasks ?? 0;
-    if (status === 'done' && (this.ground.completed.get(uid)?.size ?? 0) < tasks) {
-      this.ground.broken.push(`not_done ${uid}`);
+    const tasks = this.world.jobs.get(uid)?.tasks ?? 0;
+    if (status === 'done' && (this.world.completed.get(uid)?.size ?? 0) < tasks) {
+      this.world.broken.push(`not_done ${uid}`);
     }
     if (status === 'done' || status === 'cancelled') this.#ended.set(uid, status);
     return status;
@@ -233,7 +233,7 @@
 
   async submitBody(node: string, body: ReturnType<Cluster['submission']>): Promise<string> {
     const rules = { team: body.Owner, tasks: body.Pieces, cpus: body.Vcpus, zone: body.Site };
-    this.ground.jobs.set(body.Uid, { ...rules, oneZone: body.OneZone, spread: body.Spread });
+    this.world.jobs.set(body.Uid, { ...rules, oneZone: body.OneZone, spread: body.Spread });
     await this.until(`${body.Uid} accepted`, 20, async () => {
       const a = await this.call(node, 'POST', '/submissions', body).catch(() => null);
       return a?.status === 201 || a?.status === 200;
@@ -257,12 +257,12 @@
     for (const a of answers) {
       if (a === null) continue;
       if (a.status === 404 || a.status === 400 || a.status === 422 || a.status === 201) {
-        this.ground.broken.push(`forgotten ${uid}: ${a.status}`);
+        this.world.broken.push(`forgotten ${uid}: ${a.status}`);
       }
       if (a.status !== 200) continue;
       const { Status } = a.body as { Status: string };
       if (before !== undefined && Status !== before) {
-        this.ground.broken.push(`went_back ${uid}: ${before}, then ${Status}`);
+        this.world.broken.push(`went_back ${uid}: ${before}, then ${Status}`);
       }
       if (Status === 'done' || Status === 'cancelled') this.#ended.set(uid, Status);
     }
@@ -275,7 +275,7 @@
       if (a?.status !== 200) return false;
       const { Status } = a.body as { Status: string };
       this.#ended.set(uid, Status);
-      if (Status === 'cancelled') this.ground.cancelledAt.set(uid, Date.now());
+      if (Status === 'cancelled') this.world.cancelledAt.set(uid, Date.now());
       return true;
     });
     return this.#ended.get(uid)!;
@@ -289,7 +289,7 @@
   /** Tasks of the job that are on machines. */
   running(uid: string): number {
     let count = 0;
-    for (const [task, on] of this.ground.on) if (task.startsWith(`${uid}/`)) count += on.size;
+    for (const [task, on] of this.world.on) if (task.startsWith(`${uid}/`)) count += on.size;
     return count;
   }
 
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -3,18 +3,18 @@
 
 interface Item {
   value: unknown;
-  stamp: number;
+  revision: number;
   lease: number | null;
 }
 interface Change {
   key: string;
-  stamp: number;
+  revision: number;
   value?: unknown;
   removed: boolean;
 }
 
 /** Stand-in for the state service: keys, transactions, leases, watches and outages. */
-export class FakeState extends StandInServer {
+export class FakeStateService extends StandInServer {
   readonly items = new Map<string, Item>();
   readonly #changes: Change[] = [];
   readonly #leases = new Map<number, { ttl: number; until: number }>();
@@ -59,10 +59,10 @@
     this.#epoch += 1;
     for (const w of writes) {
       if (w.Put !== undefined) {
-        this.items.set(w.Put, { value: w.Value, stamp: this.#epoch, lease: w.Permit ?? null });
-        this.#changes.push({ key: w.Put, value: w.Value, stamp: this.#epoch, removed: false });
+        this.items.set(w.Put, { value: w.Value, revision: this.#epoch, lease: w.Permit ?? null });
+        this.#changes.push({ key: w.Put, value: w.Value, revision: this.#epoch, removed: false });
       } else if (w.Drop !== undefined && this.items.delete(w.Drop)) {
-        this.#changes.push({ key: w.Drop, stamp: this.#epoch, removed: true });
+        this.#changes.push({ key: w.Drop, revision: this.#epoch, removed: true });
       }
     }
     for (const wake of this.#waiting.splice(0)) wake();
@@ -89,7 +89,7 @@
     const key = r.path.slice('/store/'.length);
     const item = this.items.get(key);
     if (item === undefined) return { status: 404, body: { Epoch: this.#epoch } };
-    return { status: 200, body: { K: key, Value: item.value, Stamp: item.stamp } };
+    return { status: 200, body: { K: key, Value: item.value, Stamp: item.revision } };
   }
 
   /** Bursts of one second's worth. */
@@ -116,7 +116,7 @@
       this.refused.rate += 1;
       return { status: 429, body: { error: 'too many' } };
     }
-    const failed = body.When.filter((c) => (this.items.get(c.K)?.stamp ?? 0) !== c.Stamp);
+    const failed = body.When.filter((c) => (this.items.get(c.K)?.revision ?? 0) !== c.Stamp);
     if (failed.length > 0) {
       return { status: 409, body: { failed: failed.map((c) => c.K), Epoch: this.#epoch } };
     }
@@ -134,7 +134,7 @@
     const keys = [...this.items.keys()].filter((k) => k.startsWith(starts) && k > since).sort();
     const entries = keys.slice(0, limit).map((k) => {
       const item = this.items.get(k)!;
-      return { K: k, Value: item.value, Stamp: item.stamp };
+      return { K: k, Value: item.value, Stamp: item.revision };
     });
     const body = { Entries: entries, Truncated: keys.length > limit, Epoch: this.#epoch };
     return { status: 200, body };
@@ -143,7 +143,7 @@
   async #follow(query: URLSearchParams): Promise<Reply> {
     const since = Number(query.get('Since'));
     const until = Date.now() + Math.min(500, Number(query.get('BlockMs')));
-    const found = () => this.#changes.filter((c) => c.stamp > since);
+    const found = () => this.#changes.filter((c) => c.revision > since);
     while (found().length === 0 && Date.now() < until) {
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, until - Date.now());
@@ -154,7 +154,9 @@
       });
     }
     const changes = found().map((c) =>
-      c.removed ? { Drop: c.key, Stamp: c.stamp } : { Put: c.key, Value: c.value, Stamp: c.stamp },
+      c.removed
+        ? { Drop: c.key, Stamp: c.revision }
+        : { Put: c.key, Value: c.value, Stamp: c.revision },
     );
     return { status: 200, body: { Epoch: this.#epoch, News: changes } };
   }
@@ -173,6 +175,8 @@
   slowMs = 0;
   /** ms that each transaction takes longer on its way */
   slowWritesMs = 0;
+  /** transactions that are still on their way are lost */
+  dropsWrites = false;
   /** every second transaction gets no answer and is carried out this much later, after newer ones */
   lateMs: number | null = null;
   /** every second transaction is carried out at once, and only its answer is lost */
@@ -183,7 +187,7 @@
   /** transactions that were carried out late */
   late = 0;
 
-  constructor(private readonly state: FakeState) {
+  constructor(private readonly state: FakeStateService) {
     super();
   }
 
@@ -195,6 +199,7 @@
     if (this.refusing) return { status: 503, body: { error: 'trouble' } };
     if (this.slowMs > 0) await sleep(this.slowMs);
     if (r.path === '/multi' && this.slowWritesMs > 0) await sleep(this.slowWritesMs);
+    if (r.path === '/multi' && this.dropsWrites) return 'hang';
     if (r.path === '/multi') this.#transactions += 1;
     if (r.path === '/multi' && this.lateMs !== null && this.#transactions % 2 === 0) {
       void sleep(this.lateMs).then(() => {
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -10,7 +10,7 @@
 }
 
 /** What is on which machine in the simulated world; notices every broken rule. */
-export class Ground {
+export class World {
   readonly broken: string[] = [];
   readonly on = new Map<string, Set<string>>();
   readonly cancelledAt = new Map<string, number>();
@@ -114,7 +114,7 @@
 
   constructor(
     readonly name: string,
-    private readonly ground: Ground,
+    private readonly world: World,
     /** of a task by its number */
     private readonly runMs: number | ((index: number) => number),
     private readonly leaseMs: number,
@@ -187,7 +187,7 @@
       };
       this.tasks.set(entry, task);
       if (busy) return;
-      this.ground.begin(key, this.name, this.#at);
+      this.world.begin(key, this.name, this.#at);
       if (this.faulty) this.#exit(task, 'error');
     } else if (c.op === 'stop') {
       if (t !== undefined && t.state === 'running') this.#exit(t, 'stopped');
@@ -197,7 +197,7 @@
   #exit(t: Running, why: ReportedTask['why']): void {
     t.state = 'exited';
     t.why = why;
-    this.ground.end(`${t.uid}/${t.index}`, this.name);
+    this.world.end(`${t.uid}/${t.index}`, this.name);
   }
 
   /** Time passes: tasks end, and the lease may. A hanging machine does nothing until it goes on. */
@@ -215,8 +215,8 @@
       if (t.state !== 'running') continue;
       t.leftMs -= passed;
       if (t.leftMs > 0) continue;
-      const done = this.ground.completed.get(t.uid) ?? new Set();
-      this.ground.completed.set(t.uid, done.add(t.index));
+      const done = this.world.completed.get(t.uid) ?? new Set();
+      this.world.completed.set(t.uid, done.add(t.index));
       this.#exit(t, 'done');
     }
   }
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -15,9 +15,9 @@
   encodeGroup,
   prefixOf,
 } from '../src/state/keys.js';
-import { Mirror } from '../src/state/mirror.js';
+import { WatchCache } from '../src/state/watch-cache.js';
 import { partWith, Store } from './helpers.js';
-import { FakeWorker, Ground } from './standins/worker.js';
+import { FakeWorker, World } from './standins/worker.js';
 
 /**
  * Two versions side by side. The fixtures were written by the version in production, whose commit they
@@ -127,18 +127,18 @@
 });
 
 test('an owner of either version goes on with what the other recorded', () => {
-  const mirror = new Mirror();
+  const cache = new WatchCache();
   const changes = Object.entries(OLD.values).map(([key, value], i) => ({
     key,
     value,
-    stamp: i + 1,
+    revision: i + 1,
     removed: false,
   }));
-  mirror.apply({ fresh: true, epoch: 50, whole: 50, changes });
+  cache.apply({ fresh: true, epoch: 50, whole: 50, changes });
   const store = new Store();
-  for (const { value } of mirror.tables['active/'].values()) store.add(value);
-  for (const { value } of mirror.machines.values()) store.add({ ...value, part: 0 });
-  const bits = mirror.done(0, 'job-000001', 0);
+  for (const { value } of cache.tables['active/'].values()) store.add(value);
+  for (const { value } of cache.machines.values()) store.add({ ...value, part: 0 });
+  const bits = cache.done(0, 'job-000001', 0);
   assert.ok(bits !== undefined);
   store.bits.set('job-000001/0', bits);
   // The part was the old version's; what it may have started waits for its machines' answers.
@@ -149,8 +149,8 @@
   assert.equal(part.rebuilt, false);
   part.placeAll(0);
   assert.equal(job.placed.size, 0);
-  const ground = new Ground();
-  const w = new FakeWorker('vm-000001', ground, 1000, 18_000, 0);
+  const world = new World();
+  const w = new FakeWorker('vm-000001', world, 1000, 18_000, 0);
   w.answered(5, [{ op: 'start', uid: 'job-000001', index: 6, attempt: 5 * 2 ** 23 }], 0, 1);
   for (let now = 0; now < 2000; now += 500) {
     const r = w.report();
@@ -159,5 +159,5 @@
   }
   assert.equal(part.rebuilt, true);
   assert.equal(job.placed.get(6)?.attempt, 5 * 2 ** 23, "the old owner's task goes on");
-  assert.deepEqual(ground.broken, []);
+  assert.deepEqual(world.broken, []);
 });
