--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -178,6 +178,47 @@
   return job.spec.kind === 'service' ? job.waiting.length : 1;
 };
 
+/** A service whose replicas must be in several zones, and may not use spot machines, is known. */
+const spreadServiceKnown = (input: CapacityInput): boolean => {
+  const spreads = (spec: JobSpec | null) =>
+    spec !== null && spec.kind === 'service' && spec.spread && !spec.spot;
+  for (const job of input.part.jobs.values()) if (!job.over && spreads(job.spec)) return true;
+  return [...input.stats.values()].some((s) => spreads(s.sample));
+};
+
+/**
+ * Zones in which the part has, and has asked for, no ordinary machine of the type although a service may
+ * need one there: half of its replicas would wait for a boot.
+ */
+const zonesWithout = (
+  type: MachineType,
+  staying: readonly MachineState[],
+  input: CapacityInput,
+): string[] => {
+  if (!spreadServiceKnown(input)) return [];
+  return type.zones.filter((zone) => {
+    const there = staying.some(
+      (m) => m.record.type === type.name && m.record.zone === zone && !m.record.spot,
+    );
+    const asked = input.pending.some((p) => p.type === type.name && p.zone === zone && !p.spot);
+    return !there && !asked;
+  });
+};
+
+/** The only ordinary machine of its type in its zone, which the next spread service would miss. */
+const isLastForSpread = (
+  m: MachineState,
+  left: readonly MachineState[],
+  input: CapacityInput,
+): boolean => {
+  if (m.record.spot || !spreadServiceKnown(input)) return false;
+  const { type, zone } = m.record;
+  const alike = left.filter(
+    (o) => o.record.type === type && o.record.zone === zone && !o.record.spot,
+  );
+  return alike.length <= 1;
+};
+
 export const planCapacity = (input: CapacityInput): CapacityPlan => {
   const { part, now } = input;
   const giveBack: { name: string; reason: string }[] = [];
@@ -208,7 +249,11 @@
   const asked = (name: string, zone: string, spot: boolean) =>
     input.pending.some((p) => p.type === name && p.zone === zone && p.spot === spot);
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
-    const inZone = (z: string) => staying.filter((m) => m.record.zone === z).length;
+    // Machines of the same kind are balanced: a job that spreads over zones may not use the other kind.
+    const inZone = (z: string) => {
+      const alike = staying.filter((m) => m.record.zone === z && m.record.spot === spot);
+      return alike.length;
+    };
     const open = input.zones
       .filter((z) => (only === null || z === only) && type.zones.includes(z))
       .filter((z) => !input.refused(type.name, z, spot));
@@ -248,6 +293,8 @@
     const more = machinesFor(need.instead - spare) - spot - got;
     if (more > 0) wish(type, false, more, null);
 
+    for (const zone of zonesWithout(type, staying, input)) wish(type, false, 1, zone);
+
     // Idle machines beyond what is wanted go back, the longest idle first.
     const kept = { spot: Math.ceil(need.spot), any: Math.ceil(need.instead) };
     let surplusSpot = spot - kept.spot;
@@ -258,6 +305,8 @@
       .filter((m) => now - m.idleSince > input.idleKeepMs)
       .sort((a, b) => a.idleSince - b.idleSince);
     for (const m of idle) {
+      const left = staying.filter((o) => !giveBack.some((g) => g.name === o.record.name));
+      if (isLastForSpread(m, left, input)) continue;
       if ((m.record.spot ? surplusSpot : surplusOrdinary) <= 0) continue;
       if (m.record.spot) surplusSpot -= 1;
       else surplusOrdinary -= 1;
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -266,6 +266,43 @@
   }
 });
 
+test('a part keeps an ordinary machine in every zone once a service that spreads is known: table', () => {
+  // Otherwise half of the replicas wait for a boot (50 s on Sfax's day rollout).
+  const here = [machine('a'), machine('b')];
+  const both = [machine('a'), machine('b', { zone: 'y' })];
+  const cases: [
+    string,
+    ReturnType<typeof job>,
+    ReturnType<typeof machine>[],
+    zones: string[],
+    returned: number,
+  ][] = [
+    ['spread, one zone only', service({ spread: true, spot: false, tasks: 1 }), here, ['y'], 1],
+    ['spread, both zones', service({ spread: true, spot: false, tasks: 1 }), both, [], 0],
+    ['not spread', service({ spot: false, tasks: 1 }), both, [], 2],
+    ['spread on spot machines', service({ spread: true, spot: true, tasks: 1 }), both, [], 2],
+  ];
+  for (const [name, record, machines, zones, returned] of cases) {
+    const part = partWith(new Store().add(...machines));
+    const now = 10 * REPORT_MS;
+    for (const m of machines) {
+      const w = new FakeWorker(m.name, new World(), FOREVER, LEASE_MS, now, m.zone);
+      const first = w.report();
+      part.beat(first, now, true);
+      w.answered(part.term, [], now, first.session);
+      part.beat(w.report(), now + 1, true);
+    }
+    const stats = new Map([['c', { tasksPerS: 0, runS: null, sample: record.spec }]]);
+    const { rent, giveBack } = plan(part, now + REPORT_MS, { stats });
+    assert.deepEqual(
+      rent.filter((r) => !r.spot).map((r) => [r.zone, r.count]),
+      zones.map((z) => [z, 1]),
+      name,
+    );
+    assert.equal(giveBack.length, returned, name);
+  }
+});
+
 test('capacity: replicas that run keep their room, whatever their run time', () => {
   const store = new Store().add(service({ tasks: 20, spot: false }));
   const stats = new Map([['c', { tasksPerS: 0, runS: null, sample: null }]]);
