--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,12 @@
 import js from '@eslint/js';
 import tseslint from 'typescript-eslint';
 
+/** lines of a module without comments; larger ones are split by concern */
+const MODULE_LINES_MOST = 420;
+
+/** the runner itself waits for what these return */
+const TEST_RUNNER = { from: 'package', name: ['test', 'describe'], package: 'node:test' };
+
 export default tseslint.config(
   { ignores: ['target/', 'node_modules/', 'journal/', 'test/fixtures/production/'] },
   js.configs.recommended,
@@ -13,4 +19,24 @@
       '@typescript-eslint/consistent-type-imports': 'error',
     },
   },
+  {
+    files: ['src/**/*.ts', 'test/**/*.ts'],
+    languageOptions: {
+      parserOptions: { project: './tsconfig.test.json', tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        { allowForKnownSafeCalls: [TEST_RUNNER] },
+      ],
+      '@typescript-eslint/await-thenable': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+    },
+  },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'max-lines': ['error', { max: MODULE_LINES_MOST, skipBlankLines: true, skipComments: true }],
+    },
+  },
 );
