--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -249,11 +249,10 @@
   const asked = (name: string, zone: string, spot: boolean) =>
     input.pending.some((p) => p.type === name && p.zone === zone && p.spot === spot);
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
-    // Machines of the same kind are balanced: a job that spreads over zones may not use the other kind.
-    const inZone = (z: string) => {
-      const alike = staying.filter((m) => m.record.zone === z && m.record.spot === spot);
-      return alike.length;
-    };
+    // Ordinary machines are balanced by themselves where a service that spreads may use no others.
+    const byKind = !spot && spreadServiceKnown(input);
+    const inZone = (z: string) =>
+      staying.filter((m) => m.record.zone === z && !(byKind && m.record.spot)).length;
     const open = input.zones
       .filter((z) => (only === null || z === only) && type.zones.includes(z))
       .filter((z) => !input.refused(type.name, z, spot));
