Tests that show answers to users going back: they fail on these sources

These tests bring it about without the bench: three nodes' user sides over one state service, each call held and released by the test, every answer judged by what users had been told anywhere when its request was sent.

--- /dev/null
+++ b/test/standins/answer-history.ts
@@ -0,0 +1,88 @@
+import type { Answer } from '../../src/http.js';
+
+/** What a user can ask of a job. */
+export type UserCall = 'submit' | 'query' | 'withdraw';
+
+/** Strongest answers that users have had of one job. */
+interface Told {
+  accepted: boolean;
+  final: string | null;
+}
+
+/** A request on its way, with what users had been told of the job when it was sent. */
+export interface SentRequest {
+  readonly call: UserCall;
+  readonly uid: string;
+  readonly toldBefore: Readonly<Told>;
+}
+
+const FINAL = new Set(['done', 'cancelled']);
+const KNOWN = new Set(['queued', 'running', 'done', 'cancelled']);
+
+/**
+ * Judges every answer to a user by what users had been told, at any node, when its request was sent. An
+ * answer to a request that was under way at the same time may be older: the two overlap.
+ */
+export class AnswerHistory {
+  readonly #told = new Map<string, Told>();
+  readonly #submitted = new Set<string>();
+  readonly #cancelRequested = new Set<string>();
+
+  constructor(private readonly broken: string[]) {}
+
+  /** The final state that users have been told, or null. */
+  finalOf(uid: string): string | null {
+    return this.#told.get(uid)?.final ?? null;
+  }
+
+  sent(call: UserCall, uid: string): SentRequest {
+    if (call === 'submit') this.#submitted.add(uid);
+    if (call === 'withdraw') this.#cancelRequested.add(uid);
+    return { call, uid, toldBefore: { ...this.#toldOf(uid) } };
+  }
+
+  /** An answer has reached its user; null if none came. */
+  received(request: SentRequest, answer: Answer | null, at = ''): void {
+    if (answer === null) return;
+    const { call, uid, toldBefore } = request;
+    const where = at === '' ? call : `${call} at ${at}`;
+    if (answer.status === 404 && toldBefore.accepted) {
+      this.broken.push(`forgotten ${uid}: 404 to ${where}`);
+    }
+    const refused = answer.status === 400 || answer.status === 422;
+    if (refused && call === 'submit' && toldBefore.accepted) {
+      this.broken.push(`forgotten ${uid}: ${answer.status} to ${where}`);
+    }
+    if (answer.status !== 200 && answer.status !== 201) return;
+    const { Status: status } = answer.body as { Status: string };
+    this.#judge(request, answer.status, status, where);
+    const told = this.#toldOf(uid);
+    told.accepted = true;
+    if (FINAL.has(status)) told.final ??= status;
+  }
+
+  #judge(request: SentRequest, code: number, status: string, where: string): void {
+    const { call, uid, toldBefore } = request;
+    const went = (text: string) => this.broken.push(`went_back ${uid}: ${text}, to ${where}`);
+    if (!this.#submitted.has(uid)) this.broken.push(`invented ${uid}: ${status} to ${where}`);
+    if (!KNOWN.has(status)) went(`unknown status ${status}`);
+    if (code === 201 && toldBefore.accepted) went('accepted again with 201');
+    if (toldBefore.final !== null && status !== toldBefore.final) {
+      went(`${toldBefore.final}, then ${status}`);
+      return;
+    }
+    const other = this.finalOf(uid);
+    if (FINAL.has(status) && other !== null && other !== status) went(`${other}, then ${status}`);
+    if (status === 'cancelled' && !this.#cancelRequested.has(uid)) went('cancelled by no user');
+    if (call === 'withdraw' && !FINAL.has(status)) went(`a cancellation answered ${status}`);
+  }
+
+  #toldOf(uid: string): Told {
+    let told = this.#told.get(uid);
+    if (told === undefined) {
+      told = { accepted: false, final: null };
+      this.#told.set(uid, told);
+    }
+    return told;
+  }
+}
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -34,6 +34,11 @@
     this.#timer = setInterval(() => this.#expire(), 50);
   }
 
+  /** Number of the latest change. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
   /** Values that were there before any controller of the test. */
   seed(values: Readonly<Record<string, unknown>>): void {
     this.#write(Object.entries(values).map(([key, value]) => ({ Put: key, Value: value })));
--- /dev/null
+++ b/test/standins/user-node.ts
@@ -0,0 +1,243 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import Koa from 'koa';
+import { CborClient, type Answer } from '../../src/http.js';
+import type { Found, Outcome, StateClient } from '../../src/state/client.js';
+import { LinearizableReads } from '../../src/state/linearizable-reads.js';
+import { WatchCache } from '../../src/state/watch-cache.js';
+import { userRoutes } from '../../src/users/api.js';
+import { Jobs } from '../../src/users/jobs.js';
+import { transactionBody, type Condition, type Write } from '../../src/wire/schemas.js';
+import { machineType, settings } from '../helpers.js';
+import type { AnswerHistory} from './answer-history.js';
+import { type UserCall } from './answer-history.js';
+import { steadyMs } from '../../src/clock.js';
+import type { FakeStateService } from './state.js';
+
+/** ms; longer than a node takes to refuse a user. */
+const USER_PATIENCE_MS = 5000;
+
+/** Holds whatever passes through until it is opened. */
+export class Gate {
+  #closed = false;
+  #held: (() => void)[] = [];
+
+  close(): void {
+    this.#closed = true;
+  }
+
+  open(): void {
+    this.#closed = false;
+    for (const go of this.#held.splice(0)) go();
+  }
+
+  get held(): number {
+    return this.#held.length;
+  }
+
+  async pass(): Promise<void> {
+    if (this.#closed) await new Promise<void>((resolve) => this.#held.push(resolve));
+  }
+}
+
+interface FollowBody {
+  readonly Epoch: number;
+  readonly News: readonly { Put?: string; Drop?: string; Value?: unknown; Stamp: number }[];
+}
+
+/** Counts the calls that have come in, so that a test knows when one waits behind a gate. */
+class ObservedJobs extends Jobs {
+  calls = 0;
+
+  override current(...args: Parameters<Jobs['current']>): ReturnType<Jobs['current']> {
+    this.calls += 1;
+    return super.current(...args);
+  }
+
+  override submit(...args: Parameters<Jobs['submit']>): ReturnType<Jobs['submit']> {
+    this.calls += 1;
+    return super.submit(...args);
+  }
+}
+
+/**
+ * The user side of one controller over a state service that all nodes of a test share. Each call to the
+ * state service passes two gates, one on its way there and one on its way back, so that a test decides what
+ * overtakes what; nothing depends on timing.
+ */
+export class UserNode {
+  readonly cache = new WatchCache();
+  readonly #reads: LinearizableReads;
+  #server: Server | null = null;
+  #client: CborClient | null = null;
+  #jobs: ObservedJobs | null = null;
+  readonly writeRequest = new Gate();
+  readonly writeAnswer = new Gate();
+  readonly readRequest = new Gate();
+  readonly readAnswer = new Gate();
+  readonly feedRequest = new Gate();
+  readonly feedAnswer = new Gate();
+  #following = false;
+  #followAgain = false;
+  /** what a value of the state service may hold, as this node knows it; read at `open` */
+  valueBytes = 8192;
+
+  constructor(
+    readonly name: string,
+    private readonly state: FakeStateService,
+    private readonly history: AnswerHistory,
+  ) {
+    this.#reads = new LinearizableReads({ get: (key) => this.#get(key) }, this.cache, steadyMs);
+  }
+
+  async open(): Promise<void> {
+    await this.list();
+    const client = {
+      transact: (_class: unknown, when: readonly Condition[], writes: readonly Write[]) =>
+        this.#transact(when, writes),
+      expectedMs: () => 0,
+      get: (name: string) => this.#get(name),
+    } as unknown as StateClient;
+    const linearizable = {
+      wait: () => {
+        const shown = this.#reads.wait();
+        this.#follow();
+        return shown;
+      },
+    };
+    const jobs = new ObservedJobs(
+      client,
+      this.cache,
+      linearizable,
+      {
+        types: () => new Map([['m', machineType()]]),
+        loads: () => [{ part: 0, load: 0, fitsNow: true, hasImage: true }],
+        termOf: () => 1,
+        random: () => 0,
+      },
+      settings().teams,
+      1,
+      this.valueBytes,
+      0.85,
+      steadyMs,
+    );
+    this.#jobs = jobs;
+    const app = new Koa();
+    app.use(
+      userRoutes({
+        jobs,
+        progress: () => ({ done: 0, running: 0 }),
+        cancelled: () => undefined,
+        ready: () => true,
+        stateUp: () => true,
+        timeOfDay: () => 0,
+        steady: steadyMs,
+        random: () => 0,
+        accepted: () => undefined,
+        malformed: () => undefined,
+      }),
+    );
+    const handler = app.callback();
+    const server = createServer((req, res) => void handler(req, res));
+    this.#server = server;
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    this.#client = new CborClient(`127.0.0.1:${port}`, 8);
+  }
+
+  /** Calls that have come in so far, their own reads of the state included. */
+  get calls(): number {
+    return this.#jobs?.calls ?? 0;
+  }
+
+  /** A call of a user; every answer is judged. */
+  async ask(call: UserCall, body: { readonly Uid: string }): Promise<Answer | null> {
+    const sent = this.history.sent(call, body.Uid);
+    const answer = await this.#send(call, body).catch(() => null);
+    this.history.received(sent, answer, this.name);
+    return answer;
+  }
+
+  #send(call: UserCall, body: { readonly Uid: string }): Promise<Answer> {
+    const client = this.#client!;
+    const path = `/submissions/${body.Uid}`;
+    if (call === 'submit') return client.call('POST', '/submissions', body, USER_PATIENCE_MS);
+    if (call === 'query') return client.call('GET', path, undefined, USER_PATIENCE_MS);
+    return client.call('POST', `${path}/withdraw`, undefined, USER_PATIENCE_MS);
+  }
+
+  async #get(key: string): Promise<Found> {
+    await this.readRequest.pass();
+    const item = this.state.items.get(key);
+    const epoch = this.state.epoch;
+    await this.readAnswer.pass();
+    if (item === undefined) return { missing: true, epoch };
+    return { key, value: item.value, revision: item.revision };
+  }
+
+  async #transact(when: readonly Condition[], writes: readonly Write[]): Promise<Outcome> {
+    await this.writeRequest.pass();
+    const body = transactionBody(when, writes);
+    const query = new URLSearchParams();
+    const reply = await this.state.handle({ method: 'POST', path: '/multi', query, body });
+    if (reply === 'hang') throw new Error('the stand-in answers every transaction');
+    await this.writeAnswer.pass();
+    const answer = reply.body as { Epoch: number; failed?: string[] };
+    if (reply.status === 200) return { ok: true, epoch: answer.Epoch };
+    return { ok: false, failed: answer.failed ?? [] };
+  }
+
+  /** A new listing, as after a restart of the watch. */
+  async list(): Promise<void> {
+    const began = steadyMs();
+    const { epoch } = this.state;
+    const changes = [...this.state.items].map(([key, { value, revision }]) => {
+      return { key, value, revision, removed: false };
+    });
+    await this.feedAnswer.pass();
+    const cached = changes.filter(({ key }) => !key.startsWith('final/'));
+    this.cache.apply({ fresh: true, changes: cached, epoch, whole: epoch, began });
+  }
+
+  /** Reads the watch until everybody who waits has had a read that began after they came. */
+  #follow(): void {
+    this.#followAgain = true;
+    if (this.#following) return;
+    this.#following = true;
+    void (async () => {
+      while (this.#followAgain) {
+        this.#followAgain = false;
+        await this.follow();
+      }
+      this.#following = false;
+    })();
+  }
+
+  /** One read of the watch. */
+  async follow(): Promise<void> {
+    const began = steadyMs();
+    this.#reads.reading(began);
+    await this.feedRequest.pass();
+    const query = new URLSearchParams({ Since: String(this.cache.epoch), BlockMs: '0' });
+    const request = { method: 'GET', path: '/follow', query, body: null };
+    const reply = await this.state.handle(request);
+    if (reply === 'hang') throw new Error('the stand-in answers every watch');
+    await this.feedAnswer.pass();
+    const { Epoch: epoch, News: news } = reply.body as FollowBody;
+    const changes = news.map((n) => ({
+      key: n.Put ?? n.Drop ?? '',
+      revision: n.Stamp,
+      value: n.Value,
+      removed: n.Drop !== undefined,
+    }));
+    this.#reads.reading(null);
+    this.cache.apply({ fresh: false, changes, epoch, began });
+  }
+
+  close(): void {
+    this.#reads.close();
+    this.#client?.close();
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/test/watch-cache.test.ts
@@ -0,0 +1,293 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { randomFrom } from '../src/random.js';
+import type { Change } from '../src/state/client.js';
+import { CACHED_PREFIXES, encodeActive, encodeGroup, key } from '../src/state/keys.js';
+import { WatchCache, type FeedBatch } from '../src/state/watch-cache.js';
+import type { Write } from '../src/wire/schemas.js';
+import { job, machine } from './helpers.js';
+
+/**
+ * The watch cache never shows what was removed, nor an older revision than it has shown. Guards against an
+ * own write whose answer is handled after the watch has shown both the write and the removal of its key: the
+ * job of such a key was active again in that cache, for good (docs/incidents/2026-12-02-went-back.md).
+ */
+const UID = 'job-000001';
+const GROUP = { ...machine('x'), hosts: new Map([['x', true]]) };
+/** a value for each kind of key */
+const VALUES: readonly (readonly [name: string, value: unknown])[] = [
+  [key.active(UID), encodeActive(job())],
+  [key.machines('g'), encodeGroup(GROUP)],
+  [key.hire(0, 'h'), { type: 'm', zone: 'z', spot: false, count: 1 }],
+  [key.part(0), { owner: 'n', incarnation: 'i', term: 1 }],
+  [key.done(0, 0), { [`${UID}/0`]: 'f' }],
+  [key.node('n', 'i'), { incarnation: 'i' }],
+];
+const FINAL = { status: 'cancelled', tasks: 1, done: 0 };
+
+const put = (name: string, value: unknown, revision: number): Change => {
+  return { key: name, value, revision, removed: false };
+};
+const removal = (name: string, revision: number): Change => {
+  return { key: name, value: undefined, revision, removed: true };
+};
+const listing = (epoch: number, changes: readonly Change[], whole = epoch): FeedBatch => {
+  return { fresh: true, epoch, whole, changes };
+};
+const news = (epoch: number, changes: readonly Change[]): FeedBatch => {
+  return { fresh: false, epoch, changes };
+};
+
+/** Keys that the cache shows, with their revisions. */
+const shown = (cache: WatchCache): Map<string, number> => {
+  const out = new Map<string, number>();
+  for (const prefix of CACHED_PREFIXES) {
+    for (const [id, { revision }] of cache.tables[prefix]) out.set(prefix + id, revision);
+  }
+  return out;
+};
+
+interface LateRow {
+  readonly name: string;
+  /** the write was carried out at revision 5; its answer is handled after all this */
+  readonly before: (name: string, value: unknown) => readonly FeedBatch[];
+  /** revision that the cache shows in the end; null: none */
+  readonly shows: number | null;
+}
+
+const LATE_ROWS: readonly LateRow[] = [
+  {
+    name: 'the watch has shown the write and its removal in one answer',
+    before: (name, value) => [listing(1, []), news(6, [put(name, value, 5), removal(name, 6)])],
+    shows: null,
+  },
+  {
+    name: 'the watch has shown them in two answers',
+    before: (name, value) => [
+      listing(1, []),
+      news(5, [put(name, value, 5)]),
+      news(6, [removal(name, 6)]),
+    ],
+    shows: null,
+  },
+  {
+    name: 'the watch has named the removal first',
+    before: (name, value) => [listing(1, []), news(6, [removal(name, 6), put(name, value, 5)])],
+    shows: null,
+  },
+  {
+    name: 'a listing was made after both',
+    before: () => [listing(1, []), listing(6, [])],
+    shows: null,
+  },
+  {
+    name: 'a listing was made between them, and the watch has shown the removal',
+    before: (name, value) => [listing(5, [put(name, value, 5)]), news(6, [removal(name, 6)])],
+    shows: null,
+  },
+  {
+    name: 'a listing shows a mixture: the page of the key is newer than its first',
+    before: (name) => [listing(4, [], 7), news(7, [removal(name, 6)])],
+    shows: null,
+  },
+  {
+    name: 'the watch has shown a newer value',
+    before: (name, value) => [listing(1, []), news(8, [put(name, value, 5), put(name, value, 8)])],
+    shows: 8,
+  },
+  {
+    name: 'the watch is behind',
+    before: () => [listing(4, [])],
+    shows: 5,
+  },
+];
+
+describe('an own write whose answer is handled late', () => {
+  for (const row of LATE_ROWS) {
+    test(row.name, () => {
+      for (const [name, value] of VALUES) {
+        const cache = new WatchCache();
+        for (const batch of row.before(name, value)) cache.apply(batch);
+        cache.applyOwn([{ put: name, value }], 5);
+        assert.equal(shown(cache).get(name) ?? null, row.shows, name);
+        const group = cache.machines.get('x')?.revision ?? null;
+        if (name === key.machines('g')) assert.equal(group, row.shows);
+      }
+    });
+  }
+});
+
+test('a final state never changes: a later one of another kind is not taken in', () => {
+  const cache = new WatchCache();
+  cache.apply(listing(1, []));
+  cache.apply(news(3, [put(key.final(UID), { status: 'done', tasks: 1, done: 1 }, 3)]));
+  cache.learnCancelled({ uid: UID, tasks: 1, done: 0, epoch: 4 });
+  cache.learnFinal(UID, FINAL, 4);
+  assert.equal(cache.finals.get(UID)?.status, 'done');
+});
+
+/** The state service as it is, with all that ever happened to each key. */
+class ModelStore {
+  epoch = 1;
+  readonly log: Change[] = [];
+
+  write(writes: readonly Write[]): number {
+    this.epoch += 1;
+    for (const w of writes) {
+      const change = 'drop' in w ? removal(w.drop, this.epoch) : put(w.put, w.value, this.epoch);
+      this.log.push(change);
+    }
+    return this.epoch;
+  }
+
+  /** The newest change of a key at or before an epoch. */
+  at(name: string, epoch: number): Change | undefined {
+    return this.log.findLast((c) => c.key === name && c.revision <= epoch);
+  }
+
+  since(epoch: number): Change[] {
+    return this.log.filter((c) => c.revision > epoch);
+  }
+}
+
+interface OwnAnswer {
+  readonly writes: readonly Write[];
+  readonly epoch: number;
+}
+
+/** One run of random steps; each checks the cache against the model. */
+class Interleaving {
+  readonly #store = new ModelStore();
+  readonly #cache = new WatchCache();
+  readonly #random: (below: number) => number;
+  /** own writes that were carried out, and whose answers are still on their way */
+  readonly #answers: OwnAnswer[] = [];
+  readonly #peerNews: { uid: string; epoch: number }[] = [];
+  /** the watch's answer, or the pages of a listing so far, on the way */
+  #feed: FeedBatch | null = null;
+  #listed: { prefixes: number; first: number; whole: number; changes: Change[] } | null = null;
+  #jobs = 0;
+
+  constructor(seed: number) {
+    this.#random = randomFrom(seed);
+    this.#cache.apply(listing(1, []));
+  }
+
+  run(steps: number): void {
+    for (let step = 0; step < steps; step++) {
+      this.#step();
+      this.#check(step);
+    }
+  }
+
+  #step(): void {
+    const kind = this.#random(10);
+    if (kind < 2) this.#store.write(this.#someWrites());
+    else if (kind < 5) this.#ownWrite();
+    else if (kind < 7) this.#answer();
+    else if (kind < 8) this.#peer();
+    else this.#read();
+  }
+
+  /** What anybody may do: a key is put, put anew or removed; a job ends for good. */
+  #someWrites(): Write[] {
+    if (this.#random(3) > 0) return this.#jobWrites();
+    const [name, value] = VALUES[1 + this.#random(VALUES.length - 1)]!;
+    const present = this.#store.at(name, this.#store.epoch);
+    const exists = present !== undefined && !present.removed;
+    return exists && this.#random(2) === 0 ? [{ drop: name }] : [{ put: name, value }];
+  }
+
+  #jobWrites(): Write[] {
+    const uid = `job-${this.#random(this.#jobs + 1)}`;
+    const present = this.#store.at(key.active(uid), this.#store.epoch);
+    if (present?.removed === true) return [{ put: 'term', value: this.#store.epoch }];
+    if (present === undefined) this.#jobs += 1;
+    const end = present !== undefined && this.#random(2) === 0;
+    if (!end) return [{ put: key.active(uid), value: encodeActive(job({ uid })) }];
+    const status = this.#random(2) === 0 ? 'done' : 'cancelled';
+    if (status === 'cancelled') this.#peerNews.push({ uid, epoch: this.#store.epoch + 1 });
+    const value = { status, tasks: 1, done: 0 };
+    return [{ drop: key.active(uid) }, { put: key.final(uid), value }];
+  }
+
+  #ownWrite(): void {
+    const writes = this.#someWrites();
+    this.#answers.push({ writes, epoch: this.#store.write(writes) });
+  }
+
+  #answer(): void {
+    const [answer] = this.#answers.splice(this.#random(this.#answers.length), 1);
+    if (answer !== undefined) this.#cache.applyOwn(answer.writes, answer.epoch);
+  }
+
+  #peer(): void {
+    const told = this.#peerNews[this.#random(this.#peerNews.length)];
+    if (told !== undefined) this.#cache.learnCancelled({ ...told, tasks: 1, done: 0 });
+  }
+
+  /** The watch's answer is made at one step and arrives at another; a listing is made page by page. */
+  #read(): void {
+    if (this.#feed !== null) {
+      this.#cache.apply(this.#feed);
+      this.#feed = null;
+    } else if (this.#listed !== null) this.#listPage();
+    else if (this.#random(8) === 0) {
+      this.#listed = { prefixes: 0, first: Infinity, whole: 0, changes: [] };
+    } else {
+      this.#feed = news(this.#store.epoch, this.#store.since(this.#cache.epoch));
+    }
+  }
+
+  #listPage(): void {
+    const listed = this.#listed!;
+    const prefix = CACHED_PREFIXES[listed.prefixes]!;
+    const names = new Set(this.#store.log.map((c) => c.key).filter((k) => k.startsWith(prefix)));
+    for (const name of names) {
+      const present = this.#store.at(name, this.#store.epoch);
+      if (present !== undefined && !present.removed) listed.changes.push(present);
+    }
+    listed.first = Math.min(listed.first, this.#store.epoch);
+    listed.whole = this.#store.epoch;
+    listed.prefixes += 1;
+    if (listed.prefixes < CACHED_PREFIXES.length) return;
+    this.#feed = listing(listed.first, listed.changes, listed.whole);
+    this.#listed = null;
+  }
+
+  #check(step: number): void {
+    const { epoch } = this.#cache;
+    const present = shown(this.#cache);
+    for (const [name, revision] of present) {
+      const covered = this.#store.at(name, epoch);
+      const known = covered === undefined || revision >= covered.revision;
+      assert.ok(known, `step ${step}: ${name} of ${revision} at ${epoch}, ${covered?.revision}`);
+      const gone = covered?.removed === true && revision <= covered.revision;
+      assert.ok(!gone, `step ${step}: ${name} was removed at ${covered?.revision}`);
+    }
+    for (const c of this.#store.log) {
+      if (c.removed || c.revision > epoch || c.key.startsWith('final/')) continue;
+      if (this.#store.at(c.key, this.#store.epoch) !== c) continue;
+      assert.ok(
+        present.has(c.key),
+        `step ${step}: ${c.key} of ${c.revision} is missing at ${epoch}`,
+      );
+    }
+    const hosts = this.#cache.tables['machines/'].has('g') ? ['x'] : [];
+    assert.deepEqual([...this.#cache.machines.keys()], hosts, `step ${step}: machines by name`);
+    for (const [uid, { status }] of this.#cache.finals) {
+      const stored = this.#store.at(key.final(uid), this.#store.epoch)?.value as typeof FINAL;
+      assert.equal(status, stored.status, `step ${step}: ${uid}`);
+    }
+  }
+}
+
+test('random interleavings of watch, listings, own writes shown late and news of peers', () => {
+  for (let seed = 1; seed <= 150; seed++) {
+    try {
+      new Interleaving(seed).run(300);
+    } catch (error) {
+      throw new Error(`seed ${seed}`, { cause: error });
+    }
+  }
+});
