No answer older than its request: repeats share a write, never its answer

After a new listing, or once the final state had left the memory, an ended job was answered as queued.

Change: - JobReader: a reading carries since when it is current, and one function tells a user a state: a final one known by then, else a reading that is as new as the request, else a refusal. - A repeat waits for the earlier write and then reads for itself. - WatchCache: an own write at or before the watch's epoch changes nothing but final states; changes of one answer are taken in order of revision; the first final state of a job holds. - A repeat whose own record would not fit a value gets the job's state, not 422. - The accepting node answers with the end if it knows it by then.

Ruled out so far: questions alone (each has a read of its own), the probe's epoch (only the watch moves the cache's), shared reads of final states (none joins one that has left).

--- a/src/parts/machine-records.ts
+++ b/src/parts/machine-records.ts
@@ -26,7 +26,7 @@
     private readonly client: Pick<StateClient, 'transact'>,
     private readonly cache: WatchCache,
     /** resolves once the cache shows everything that was committed before the call */
-    private readonly current: () => Promise<void>,
+    private readonly current: () => Promise<unknown>,
     private readonly now: () => number,
     private readonly log: Logger,
   ) {}
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -85,7 +85,7 @@
     private readonly cache: WatchCache,
     private readonly lease: Pick<NodeLease, 'valid' | 'registeredAt' | 'validSince'>,
     /** resolves once the cache shows everything that was committed before the call */
-    private readonly current: () => Promise<void>,
+    private readonly current: () => Promise<unknown>,
     private readonly peers: PeerView,
     private readonly types: () => ReadonlyMap<string, MachineType> | null,
     private readonly startWithin: PartSettings['startWithin'],
--- a/src/service.ts
+++ b/src/service.ts
@@ -39,6 +39,7 @@
 import { NodeLease } from './state/lease.js';
 import { feed, WatchCache, type FeedBatch } from './state/watch-cache.js';
 import { userRoutes } from './users/api.js';
+import { JobReader } from './users/job-reader.js';
 import { Jobs } from './users/jobs.js';
 import { workerRoutes, type HeartbeatReply } from './workers/heartbeats.js';
 
@@ -63,6 +64,7 @@
   readonly #summary: Summary;
   readonly #partController: PartController;
   readonly #rentals: Rentals;
+  readonly #jobReader: JobReader;
   readonly #jobs: Jobs;
   readonly #stop = new AbortController();
   readonly #timers: NodeJS.Timeout[] = [];
@@ -144,10 +146,11 @@
       timeOfDayMs,
       log,
     );
+    this.#jobReader = new JobReader(this.#state, this.#cache, this.#linearizable);
     this.#jobs = new Jobs(
       this.#state,
       this.#cache,
-      this.#linearizable,
+      this.#jobReader,
       {
         types: () => this.#types.current,
         loads: (spec) => this.#directory.loads(spec),
@@ -195,6 +198,7 @@
     app.use(
       userRoutes({
         jobs: this.#jobs,
+        reader: this.#jobReader,
         progress: (uid) => this.#directory.progress(uid),
         // Whoever runs the job should stop it now, whether or not the state service tells it.
         cancelled: (uid) => {
--- a/src/state/linearizable-reads.ts
+++ b/src/state/linearizable-reads.ts
@@ -7,7 +7,7 @@
   readonly asked: number;
   /** a probe that began after the request found this epoch */
   epoch: number | null;
-  readonly resolve: () => void;
+  readonly resolve: (currentSince: number) => void;
   readonly reject: (error: unknown) => void;
 }
 
@@ -41,7 +41,8 @@
     this.#look();
   }
 
-  wait(): Promise<void> {
+  /** Resolves with the steady ms since which the cache is current: the moment of the call. */
+  wait(): Promise<number> {
     return new Promise((resolve, reject) => {
       this.#waiters.push({ asked: this.now(), epoch: null, resolve, reject });
       this.#look();
@@ -53,7 +54,7 @@
     const { currentAt, epoch } = this.cache;
     this.#waiters = this.#waiters.filter((w) => {
       const shown = w.asked <= currentAt || (w.epoch !== null && epoch >= w.epoch);
-      if (shown) w.resolve();
+      if (shown) w.resolve(w.asked);
       return !shown;
     });
   }
--- a/src/state/reads.ts
+++ b/src/state/reads.ts
@@ -8,7 +8,7 @@
 export class SharedReads {
   readonly #next = new Map<string, Promise<Found>>();
 
-  constructor(private readonly client: StateClient) {}
+  constructor(private readonly client: Pick<StateClient, 'get'>) {}
 
   read(key: string): Promise<Found> {
     const open = this.#next.get(key);
--- a/src/state/watch-cache.ts
+++ b/src/state/watch-cache.ts
@@ -117,6 +117,10 @@
 }
 type Tables = { [P in Prefix]: Map<string, Cached<Decoded[P]>> };
 
+/** The protocol promises no order of a watch's changes; taken in another one, a removal could come first. */
+const inOrder = ({ fresh, changes }: FeedBatch): readonly Change[] =>
+  fresh ? changes : changes.toSorted((a, b) => a.revision - b.revision);
+
 const emptyTables = (): Tables => ({
   'active/': new Map(),
   'done/': new Map(),
@@ -162,7 +166,7 @@
       // gone on which tasks run.
       this.#whole = Math.max(batch.whole ?? batch.epoch, this.#ownEpoch);
     }
-    for (const change of batch.changes) this.#change(change);
+    for (const change of inOrder(batch)) this.#change(change);
     this.epoch = batch.epoch;
     this.currentAt = Math.max(this.currentAt, batch.began ?? -Infinity);
     if (batch.fresh || batch.changes.length > 0) this.version += 1;
@@ -170,18 +174,25 @@
     this.emit('change', batch);
   }
 
-  /** Shows a transaction of our own at once, ahead of the feed. */
+  /**
+   * Shows a transaction of our own ahead of the watch. What the watch has shown already changes nothing
+   * any more: with an answer that is handled late, the key may have changed since, or be gone, and
+   * would come back for good. Final states never change, so they are learned however late.
+   */
   applyOwn(writes: readonly Write[], epoch: number): void {
-    this.#ownEpoch = Math.max(this.#ownEpoch, epoch);
-    this.version += 1;
+    const covered = epoch <= this.epoch;
     for (const w of writes) {
       const removed = 'drop' in w;
       const change = removed
         ? { key: w.drop, revision: epoch, value: undefined, removed }
         : { key: w.put, revision: epoch, value: w.value, removed };
+      if (covered && !change.key.startsWith(FINAL)) continue;
       this.#change(change);
       if (removed) this.#removed.set(change.key, epoch);
     }
+    if (covered) return;
+    this.#ownEpoch = Math.max(this.#ownEpoch, epoch);
+    this.version += 1;
     this.emit('change');
   }
 
@@ -255,11 +266,13 @@
     this.applyOwn([{ drop: key.active(uid) }, { put: key.final(uid), value: final }], epoch);
   }
 
+  /** Takes in a final state as of an epoch, and returns the one that holds: the first never changes. */
   learnFinal(uid: string, value: unknown, epoch: number): FinalState {
+    const known = this.finals.get(uid);
+    if (known !== undefined) return known;
     const final = decodeFinal(value);
-    const news = !this.finals.has(uid);
     this.finals.set(uid, final);
-    if (news && final.status === 'cancelled') {
+    if (final.status === 'cancelled') {
       this.emit('cancelled', { uid, tasks: final.tasks, done: final.done, epoch });
     }
     if (this.finals.size > FINALS_IN_MEMORY) {
--- a/src/users/api.ts
+++ b/src/users/api.ts
@@ -5,11 +5,14 @@
 import { StateTrouble } from '../state/client.js';
 import { fromBytes, WireError } from '../wire/cbor.js';
 import { statusBody, submission, UID_FORM, type JobStatus } from '../wire/schemas.js';
-import type { JobAnswer, Jobs } from './jobs.js';
+import type { JobReader, JobReading } from './job-reader.js';
+import type { Jobs } from './jobs.js';
 import * as z from 'zod';
 
+/** What the user's routes need of the rest of a controller. */
 export interface UserSide {
-  readonly jobs: Jobs;
+  readonly jobs: Pick<Jobs, 'submit' | 'cancel'>;
+  readonly reader: JobReader;
   /** counts of tasks, for display */
   progress(uid: string): { done: number; running: number };
   /** a user is told that the job is cancelled */
@@ -35,6 +38,13 @@
   return Promise.race([work, late]).finally(() => clearTimeout(timer));
 };
 
+/** A request about a job, and when it came in, in steady ms. */
+interface JobRequest {
+  readonly ctx: Koa.Context;
+  readonly uid: string;
+  readonly arrivedAt: number;
+}
+
 const claimedUid = z.object({ Uid: z.string().regex(UID_FORM) });
 
 export const userRoutes = (side: UserSide): Koa.Middleware => {
@@ -46,89 +56,100 @@
     ctx.set('Retry-After', String(seconds));
     send(ctx, 503, { error: reason });
   };
-  const stateOf = (uid: string, answer: JobAnswer) => {
-    if (answer.kind === 'final') {
+  const refuseWithoutState = (ctx: Koa.Context): void =>
+    refuse(ctx, 'the state service does not answer');
+
+  /** Only a final state that is known here can be told while the state service does not answer. */
+  const answerable = (uid: string): boolean =>
+    side.stateUp() || side.reader.knownFinal(uid) !== undefined;
+
+  /** The one place where a user is told the state of a job. */
+  const tell = (
+    { ctx, uid, arrivedAt }: JobRequest,
+    reading: JobReading,
+    accepted = false,
+  ): void => {
+    const answer = side.reader.tellable(uid, reading, arrivedAt);
+    if (answer === null) refuse(ctx, 'the state was read before the request came in');
+    else if (answer.kind === 'missing') send(ctx, 404, { error: 'no such job' });
+    else if (answer.kind === 'final') {
       const { status, done } = answer.final;
       if (status === 'cancelled') side.cancelled(uid);
-      return statusBody(uid, status, done, 0);
+      send(ctx, 200, statusBody(uid, status, done, 0));
+    } else if (accepted) send(ctx, 201, statusBody(uid, 'queued'));
+    else {
+      const { done, running } = side.progress(uid);
+      const status: JobStatus = running > 0 ? 'running' : 'queued';
+      send(ctx, 200, statusBody(uid, status, done, running));
     }
-    const { done, running } = side.progress(uid);
-    const status: JobStatus = running > 0 ? 'running' : 'queued';
-    return statusBody(uid, status, done, running);
+  };
+
+  /** A repeat of an accepted job gets its state, whatever else its body says. */
+  const refuseMalformed = async (
+    ctx: Koa.Context,
+    body: unknown,
+    error: z.ZodError,
+    arrivedAt: number,
+  ): Promise<void> => {
+    const uid = claimedUid.safeParse(body).data?.Uid;
+    if (uid !== undefined) {
+      if (!answerable(uid)) return refuseWithoutState(ctx);
+      const reading = await inTime(side.reader.read(uid));
+      if (reading.answer.kind !== 'missing') return tell({ ctx, uid, arrivedAt }, reading);
+    }
+    const first = error.issues[0];
+    const reason = `${first?.path.join('.') ?? ''}: ${first?.message ?? ''}`;
+    side.malformed(reason);
+    send(ctx, 400, { error: reason });
   };
 
   const submit = async (ctx: Koa.Context): Promise<void> => {
-    const began = side.steady();
+    const arrivedAt = side.steady();
     const bytes = await readBody(ctx.req);
     if (bytes === null) {
       ctx.set('Connection', 'close');
-      send(ctx, 400, { error: 'body over the limit' });
-      return;
+      return send(ctx, 400, { error: 'body over the limit' });
     }
     const body = fromBytes(bytes);
     const parsed = submission.safeParse(body);
-    if (!parsed.success) {
-      // A repeat of an accepted job gets its state, whatever else its body says.
-      const uid = claimedUid.safeParse(body).data?.Uid;
-      if (uid !== undefined && side.stateUp()) {
-        const answer = await inTime(side.jobs.current(uid));
-        if (answer.kind !== 'missing') {
-          send(ctx, 200, stateOf(uid, answer));
-          return;
-        }
-      } else if (uid !== undefined) {
-        refuse(ctx, 'the state service does not answer');
-        return;
-      }
-      const first = parsed.error.issues[0];
-      side.malformed(`${first?.path.join('.') ?? ''}: ${first?.message ?? ''}`);
-      send(ctx, 400, { error: `${first?.path.join('.') ?? ''}: ${first?.message ?? ''}` });
-      return;
-    }
-    if (!side.stateUp() && !side.jobs.isFinal(parsed.data.uid)) {
-      refuse(ctx, 'the state service does not answer');
-      return;
-    }
+    if (!parsed.success) return refuseMalformed(ctx, body, parsed.error, arrivedAt);
+    const { uid } = parsed.data;
+    if (!answerable(uid)) return refuseWithoutState(ctx);
     const result = await inTime(side.jobs.submit(parsed.data, side.timeOfDay()));
-    if (result.kind === 'accepted') {
-      side.accepted(parsed.data, side.steady() - began);
-      send(ctx, 201, statusBody(parsed.data.uid, 'queued'));
-    } else if (result.kind === 'known') send(ctx, 200, stateOf(parsed.data.uid, result.answer));
-    else if (result.kind === 'never') send(ctx, 422, { error: result.reason });
-    else refuse(ctx, result.reason, result.waitMs);
+    const request = { ctx, uid, arrivedAt };
+    switch (result.kind) {
+      case 'accepted':
+        side.accepted(parsed.data, side.steady() - arrivedAt);
+        return tell(request, result.reading, true);
+      case 'known':
+        return tell(request, result.reading);
+      case 'never':
+        return send(ctx, 422, { error: result.reason });
+      case 'undecided':
+        return refuse(ctx, result.reason, result.waitMs);
+    }
   };
 
-  const query = async (ctx: Koa.Context, uid: string): Promise<void> => {
-    if (!side.stateUp() && !side.jobs.isFinal(uid)) {
-      refuse(ctx, 'the state service does not answer');
-      return;
-    }
-    const answer = await inTime(side.jobs.current(uid));
-    if (answer.kind === 'missing') send(ctx, 404, { error: 'no such job' });
-    else send(ctx, 200, stateOf(uid, answer));
+  const query = async (request: JobRequest): Promise<void> => {
+    if (!answerable(request.uid)) return refuseWithoutState(request.ctx);
+    tell(request, await inTime(side.reader.read(request.uid)));
   };
 
-  const withdraw = async (ctx: Koa.Context, uid: string): Promise<void> => {
-    if (!side.stateUp() && !side.jobs.isFinal(uid)) {
-      refuse(ctx, 'the state service does not answer');
-      return;
-    }
-    const final = await inTime(side.jobs.cancel(uid));
-    if (final === null) send(ctx, 404, { error: 'no such job' });
-    else {
-      if (final.status === 'cancelled') side.cancelled(uid);
-      send(ctx, 200, statusBody(uid, final.status));
-    }
+  const withdraw = async (request: JobRequest): Promise<void> => {
+    if (!answerable(request.uid)) return refuseWithoutState(request.ctx);
+    tell(request, await inTime(side.jobs.cancel(request.uid)));
   };
 
   const dispatch = async (ctx: Koa.Context): Promise<void> => {
-    const [, , id, verb] = ctx.path.split('/');
-    if (id === undefined && ctx.method === 'POST') return submit(ctx);
-    if (id === undefined || (verb !== undefined && verb !== 'withdraw')) return;
+    const arrivedAt = side.steady();
+    const [, , uid, verb] = ctx.path.split('/');
+    if (uid === undefined && ctx.method === 'POST') return submit(ctx);
+    if (uid === undefined || (verb !== undefined && verb !== 'withdraw')) return;
     if (verb === undefined && ctx.method !== 'GET') return;
     if (verb === 'withdraw' && ctx.method !== 'POST') return;
-    if (!UID_FORM.test(id)) return send(ctx, 404, { error: 'no such job' });
-    return verb === undefined ? query(ctx, id) : withdraw(ctx, id);
+    if (!UID_FORM.test(uid)) return send(ctx, 404, { error: 'no such job' });
+    const request = { ctx, uid, arrivedAt };
+    return verb === undefined ? query(request) : withdraw(request);
   };
 
   return async (ctx, next) => {
--- /dev/null
+++ b/src/users/job-reader.ts
@@ -0,0 +1,78 @@
+import type { JobRecord } from '../core/model.js';
+import type { StateClient } from '../state/client.js';
+import { key, type FinalState } from '../state/keys.js';
+import type { LinearizableReads } from '../state/linearizable-reads.js';
+import { SharedReads } from '../state/reads.js';
+import type { WatchCache } from '../state/watch-cache.js';
+
+/** What the service knows of a job. */
+export type JobAnswer =
+  | { readonly kind: 'active'; readonly job: JobRecord; readonly revision: number }
+  | { readonly kind: 'final'; readonly final: FinalState }
+  | { readonly kind: 'missing' };
+
+/** A job's state, and since when it is current: whatever was committed before that moment is in it. */
+export interface JobReading {
+  readonly answer: JobAnswer;
+  /** steady ms; Infinity for a final state, which never changes */
+  readonly currentSince: number;
+}
+
+/** A final state is current whenever it was read. */
+export const finalReading = (final: FinalState): JobReading => ({
+  answer: { kind: 'final', final },
+  currentSince: Infinity,
+});
+
+/**
+ * Reads the present state of jobs, and decides whether a reading may be told to a user. An answer is
+ * never older than one that any node gave before the request came in: it is final, or rests on a read
+ * that began after the request's arrival.
+ */
+export class JobReader {
+  readonly #finals: SharedReads;
+
+  constructor(
+    client: Pick<StateClient, 'get'>,
+    private readonly cache: WatchCache,
+    private readonly linearizable: Pick<LinearizableReads, 'wait'>,
+  ) {
+    this.#finals = new SharedReads(client);
+  }
+
+  /** The job's final state if it is known here: that needs no read, not even in an outage. */
+  knownFinal(uid: string): FinalState | undefined {
+    return this.cache.finals.get(uid);
+  }
+
+  /**
+   * The present state. The cache is brought up to date first; a job that is not active there has
+   * ended or never was, since the move from active to final is one transaction.
+   */
+  async read(uid: string): Promise<JobReading> {
+    const before = this.knownFinal(uid);
+    if (before !== undefined) return finalReading(before);
+    const currentSince = await this.linearizable.wait();
+    const active = this.cache.tables['active/'].get(uid);
+    if (active !== undefined) {
+      const { value: job, revision } = active;
+      return { answer: { kind: 'active', job, revision }, currentSince };
+    }
+    const shown = this.knownFinal(uid);
+    if (shown !== undefined) return finalReading(shown);
+    const found = await this.#finals.read(key.final(uid));
+    if ('missing' in found) return { answer: { kind: 'missing' }, currentSince };
+    return finalReading(this.cache.learnFinal(uid, found.value, found.revision));
+  }
+
+  /**
+   * What a user whose request came in at `arrivedAt` (steady ms) may be told: a final state known by
+   * now, else the reading. Null if the reading is older than the request: another node may have told
+   * the user something newer in between.
+   */
+  tellable(uid: string, reading: JobReading, arrivedAt: number): JobAnswer | null {
+    const final = this.knownFinal(uid);
+    if (final !== undefined) return { kind: 'final', final };
+    return reading.currentSince >= arrivedAt ? reading.answer : null;
+  }
+}
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -19,21 +19,15 @@
 import type { PartLoad } from '../core/jobs.js';
 import type { JobRecord, JobSpec, MachineType, TaskRange, Team } from '../core/model.js';
 import { CALL, StateTrouble, type StateClient } from '../state/client.js';
-import type { LinearizableReads } from '../state/linearizable-reads.js';
 import { encodeActive, key, type FinalState } from '../state/keys.js';
 import type { WatchCache } from '../state/watch-cache.js';
-import { SharedReads } from '../state/reads.js';
 import type { Write } from '../wire/schemas.js';
+import { finalReading, type JobReader, type JobReading } from './job-reader.js';
 
-/** What a user is told of a job. */
-export type JobAnswer =
-  | { readonly kind: 'active'; readonly job: JobRecord; readonly revision: number }
-  | { readonly kind: 'final'; readonly final: FinalState }
-  | { readonly kind: 'missing' };
-
+/** What has become of a submission. */
 export type Submitted =
-  | { readonly kind: 'accepted' }
-  | { readonly kind: 'known'; readonly answer: JobAnswer }
+  | { readonly kind: 'accepted'; readonly reading: JobReading }
+  | { readonly kind: 'known'; readonly reading: JobReading }
   | { readonly kind: 'never'; readonly reason: string }
   | { readonly kind: 'undecided'; readonly reason: string; readonly waitMs?: number };
 
@@ -45,26 +39,24 @@
   random(below: number): number;
 }
 
-/** Jobs as users see them: accepted, read and cancelled by transactions and current reads. */
+/** Accepts and cancels jobs by transactions. */
 export class Jobs {
-  readonly #reads: SharedReads;
-  /** submissions on their way: a repeat joins its first try instead of costing another write */
   readonly #sentAway = new Map<string, { spec: JobSpec; at: number }>();
-  readonly #submitting = new Map<string, Promise<Submitted>>();
+  /** acceptances on their way, by job: a repeat waits for its first try instead of costing a write */
+  readonly #accepting = new Map<string, Promise<Submitted>>();
 
   constructor(
-    private readonly client: StateClient,
+    private readonly client: Pick<StateClient, 'transact' | 'expectedMs'>,
     private readonly cache: WatchCache,
-    private readonly linearizable: Pick<LinearizableReads, 'wait'>,
+    private readonly reader: JobReader,
     private readonly routing: Routing,
     private readonly teams: ReadonlyMap<string, Team>,
     private readonly parts: number,
     private readonly valueBytes: number,
     private readonly loadThreshold: number,
+    /** steady ms */
     private readonly now: () => number,
-  ) {
-    this.#reads = new SharedReads(client);
-  }
+  ) {}
 
   /**
    * Jobs that were lately told to come back, for want of writes. They will come, so machines for them
@@ -80,51 +72,48 @@
     return out;
   }
 
-  /** True if the job's final state is known here: it needs no read, not even in an outage. */
-  isFinal(uid: string): boolean {
-    return this.cache.finals.has(uid);
+  /** Accepts a job, or finds that it is known. `acceptedAt` is the time of day, in ms. */
+  async submit(spec: JobSpec, acceptedAt: number): Promise<Submitted> {
+    const final = this.reader.knownFinal(spec.uid);
+    if (final !== undefined) return { kind: 'known', reading: finalReading(final) };
+    const types = this.routing.types();
+    if (types === null) return { kind: 'undecided', reason: 'machine types are not known yet' };
+    const verdict = admit(spec, types.values(), this.teams);
+    if (verdict !== 'accept') {
+      // A repeat of an accepted job is answered with its state, whatever the body says now.
+      return this.#ifKnown(spec.uid, { kind: 'never', reason: verdict });
+    }
+    if (this.cache.tables['active/'].has(spec.uid)) {
+      return { kind: 'known', reading: await this.reader.read(spec.uid) };
+    }
+    const earlier = this.#accepting.get(spec.uid);
+    if (earlier !== undefined) return this.#afterEarlier(spec.uid, earlier);
+    const accepting = this.#accept(spec, acceptedAt, types).finally(() => {
+      this.#accepting.delete(spec.uid);
+    });
+    this.#accepting.set(spec.uid, accepting);
+    return accepting;
   }
 
   /**
-   * The present state. The cache is brought up to date first; a job that is not active there has
-   * ended or never was, since the move from active to final is one transaction.
+   * The write of an earlier try serves a repeat, too, but not its answer: the job may have been accepted,
+   * cancelled or done through another node since, and the user told so, before the repeat came in.
    */
-  async current(uid: string): Promise<JobAnswer> {
-    const final = this.cache.finals.get(uid);
-    if (final !== undefined) return { kind: 'final', final };
-    await this.linearizable.wait();
-    const active = this.cache.tables['active/'].get(uid);
-    if (active !== undefined)
-      return { kind: 'active', job: active.value, revision: active.revision };
-    const now = this.cache.finals.get(uid);
-    if (now !== undefined) return { kind: 'final', final: now };
-    const ended = await this.#reads.read(key.final(uid));
-    if ('missing' in ended) return { kind: 'missing' };
-    return { kind: 'final', final: this.cache.learnFinal(uid, ended.value, ended.revision) };
+  async #afterEarlier(uid: string, earlier: Promise<Submitted>): Promise<Submitted> {
+    await Promise.allSettled([earlier]);
+    return this.#ifKnown(uid, { kind: 'undecided', reason: 'an earlier try has no outcome' });
   }
 
-  submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
-    const open = this.#submitting.get(spec.uid);
-    if (open !== undefined) return open;
-    const work = this.#submit(spec, nowMs).finally(() => this.#submitting.delete(spec.uid));
-    this.#submitting.set(spec.uid, work);
-    return work;
+  async #ifKnown(uid: string, otherwise: Submitted): Promise<Submitted> {
+    const reading = await this.reader.read(uid);
+    return reading.answer.kind === 'missing' ? otherwise : { kind: 'known', reading };
   }
 
-  async #submit(spec: JobSpec, nowMs: number): Promise<Submitted> {
-    const final = this.cache.finals.get(spec.uid);
-    if (final !== undefined) return { kind: 'known', answer: { kind: 'final', final } };
-    const types = this.routing.types();
-    if (types === null) return { kind: 'undecided', reason: 'machine types are not known yet' };
-    const verdict = admit(spec, types.values(), this.teams);
-    if (verdict !== 'accept') {
-      // A repeat of an accepted job is answered with its state, whatever the body says now.
-      const answer = await this.current(spec.uid);
-      if (answer.kind !== 'missing') return { kind: 'known', answer };
-      return { kind: 'never', reason: verdict };
-    }
-    const active = this.cache.tables['active/'].get(spec.uid);
-    if (active !== undefined) return { kind: 'known', answer: await this.current(spec.uid) };
+  async #accept(
+    spec: JobSpec,
+    acceptedAt: number,
+    types: ReadonlyMap<string, MachineType>,
+  ): Promise<Submitted> {
     // What would only be refused after a wait is refused at once.
     const waitMs = this.client.expectedMs(CALL.acceptance);
     if (waitMs > SUBMIT_WAIT_MS) {
@@ -134,12 +123,13 @@
     this.#sentAway.delete(spec.uid);
     const ranges = this.#route(spec);
     if (ranges === null) return { kind: 'undecided', reason: 'parts have no owner yet' };
-    const record: JobRecord = { spec: this.#compact(spec, types), at: nowMs, ranges };
-    const value = encodeActive(record);
+    const job: JobRecord = { spec: this.#compact(spec, types), at: acceptedAt, ranges };
+    const value = encodeActive(job);
     if (JSON.stringify(value).length > this.valueBytes) {
-      return { kind: 'never', reason: 'record_too_large' };
+      return this.#ifKnown(spec.uid, { kind: 'never', reason: 'record_too_large' });
     }
     const writes: Write[] = [{ put: key.active(spec.uid), value }];
+    const currentSince = this.now();
     const result = await this.client.transact(
       CALL.acceptance,
       [
@@ -148,13 +138,12 @@
       ],
       writes,
     );
-    if (result.ok) {
-      this.cache.applyOwn(writes, result.epoch);
-      return { kind: 'accepted' };
+    if (!result.ok) {
+      return this.#ifKnown(spec.uid, { kind: 'undecided', reason: 'submitted twice at once' });
     }
-    const answer = await this.current(spec.uid);
-    if (answer.kind === 'missing') return { kind: 'undecided', reason: 'submitted twice at once' };
-    return { kind: 'known', answer };
+    this.cache.applyOwn(writes, result.epoch);
+    const answer = { kind: 'active', job, revision: result.epoch } as const;
+    return { kind: 'accepted', reading: { answer, currentSince } };
   }
 
   /** Long lists of machine types are cut to those that exist, to fit a value's size. */
@@ -190,11 +179,12 @@
     return out;
   }
 
-  async cancel(uid: string): Promise<FinalState | null> {
+  /** Cancels a job unless it has ended; the reading is final, or the job is missing. */
+  async cancel(uid: string): Promise<JobReading> {
     for (let attempt = 0; attempt < CANCEL_TRIES; attempt++) {
-      const answer = await this.current(uid);
-      if (answer.kind === 'missing') return null;
-      if (answer.kind === 'final') return answer.final;
+      const reading = await this.reader.read(uid);
+      const { answer } = reading;
+      if (answer.kind !== 'active') return reading;
       const final: FinalState = { status: 'cancelled', tasks: answer.job.spec.tasks, done: 0 };
       const writes: Write[] = [{ drop: key.active(uid) }, { put: key.final(uid), value: final }];
       const result = await this.client.transact(
@@ -204,7 +194,7 @@
       );
       if (result.ok) {
         this.cache.applyOwn(writes, result.epoch);
-        return final;
+        return finalReading(final);
       }
     }
     throw new StateTrouble('busy', `job ${uid} changes faster than it can be cancelled`);
--- a/test/standins/user-node.ts
+++ b/test/standins/user-node.ts
@@ -2,14 +2,15 @@
 import type { AddressInfo } from 'node:net';
 import Koa from 'koa';
 import { CborClient, type Answer } from '../../src/http.js';
-import type { Found, Outcome, StateClient } from '../../src/state/client.js';
+import type { Found, Outcome } from '../../src/state/client.js';
 import { LinearizableReads } from '../../src/state/linearizable-reads.js';
 import { WatchCache } from '../../src/state/watch-cache.js';
 import { userRoutes } from '../../src/users/api.js';
+import { JobReader } from '../../src/users/job-reader.js';
 import { Jobs } from '../../src/users/jobs.js';
 import { transactionBody, type Condition, type Write } from '../../src/wire/schemas.js';
 import { machineType, settings } from '../helpers.js';
-import type { AnswerHistory} from './answer-history.js';
+import type { AnswerHistory } from './answer-history.js';
 import { type UserCall } from './answer-history.js';
 import { steadyMs } from '../../src/clock.js';
 import type { FakeStateService } from './state.js';
@@ -45,18 +46,23 @@
   readonly News: readonly { Put?: string; Drop?: string; Value?: unknown; Stamp: number }[];
 }
 
-/** Counts the calls that have come in, so that a test knows when one waits behind a gate. */
+/** Counts the submissions that have come in, so that a test knows when one waits behind a gate. */
 class ObservedJobs extends Jobs {
   calls = 0;
 
-  override current(...args: Parameters<Jobs['current']>): ReturnType<Jobs['current']> {
+  override submit(...args: Parameters<Jobs['submit']>): ReturnType<Jobs['submit']> {
     this.calls += 1;
-    return super.current(...args);
+    return super.submit(...args);
   }
+}
 
-  override submit(...args: Parameters<Jobs['submit']>): ReturnType<Jobs['submit']> {
+/** Counts the readings that were asked for. */
+class ObservedReader extends JobReader {
+  calls = 0;
+
+  override read(uid: string): ReturnType<JobReader['read']> {
     this.calls += 1;
-    return super.submit(...args);
+    return super.read(uid);
   }
 }
 
@@ -71,6 +77,7 @@
   #server: Server | null = null;
   #client: CborClient | null = null;
   #jobs: ObservedJobs | null = null;
+  #reader: ObservedReader | null = null;
   readonly writeRequest = new Gate();
   readonly writeAnswer = new Gate();
   readonly readRequest = new Gate();
@@ -96,8 +103,7 @@
       transact: (_class: unknown, when: readonly Condition[], writes: readonly Write[]) =>
         this.#transact(when, writes),
       expectedMs: () => 0,
-      get: (name: string) => this.#get(name),
-    } as unknown as StateClient;
+    };
     const linearizable = {
       wait: () => {
         const shown = this.#reads.wait();
@@ -105,10 +111,13 @@
         return shown;
       },
     };
+    const get = (name: string) => this.#get(name);
+    const reader = new ObservedReader({ get }, this.cache, linearizable);
+    this.#reader = reader;
     const jobs = new ObservedJobs(
       client,
       this.cache,
-      linearizable,
+      reader,
       {
         types: () => new Map([['m', machineType()]]),
         loads: () => [{ part: 0, load: 0, fitsNow: true, hasImage: true }],
@@ -126,6 +135,7 @@
     app.use(
       userRoutes({
         jobs,
+        reader,
         progress: () => ({ done: 0, running: 0 }),
         cancelled: () => undefined,
         ready: () => true,
@@ -147,7 +157,7 @@
 
   /** Calls that have come in so far, their own reads of the state included. */
   get calls(): number {
-    return this.#jobs?.calls ?? 0;
+    return (this.#jobs?.calls ?? 0) + (this.#reader?.calls ?? 0);
   }
 
   /** A call of a user; every answer is judged. */
