--- a/test/combined-faults.test.ts
+++ b/test/combined-faults.test.ts
@@ -292,7 +292,7 @@
         const [end] = await Promise.all([
           c.cancel(c.names[(i + 1) % 3]!, uid),
           asking(),
-          c.call(c.names[i % 3]!, 'POST', '/submissions', c.submission({ ...SMALL, Uid: uid })),
+          c.ask(c.names[i % 3]!, 'submit', uid, c.submission({ ...SMALL, Uid: uid })),
         ]);
         slow.slowWritesMs = 0;
         for (const n of c.names) assert.equal(await c.statusOf(n, uid), end);
--- /dev/null
+++ b/test/linearizable-reads.test.ts
@@ -0,0 +1,169 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { setImmediate as turn, setTimeout as sleep } from 'node:timers/promises';
+import { HELD_READ_MS, READ_GATHER_MS } from '../src/constants.js';
+import type { Found } from '../src/state/client.js';
+import { key } from '../src/state/keys.js';
+import { LinearizableReads } from '../src/state/linearizable-reads.js';
+import { SharedReads } from '../src/state/reads.js';
+import { WatchCache } from '../src/state/watch-cache.js';
+
+/** A reader waits for a read that began after it came, whatever else arrives meanwhile. */
+class Scene {
+  now = 100;
+  readonly cache = new WatchCache();
+  /** probes that were sent and not answered yet */
+  readonly probes: ((found: Found) => void)[] = [];
+  readonly reads: LinearizableReads;
+  shownSince: number | null = null;
+
+  constructor() {
+    const get = () => new Promise<Found>((resolve) => this.probes.push(resolve));
+    this.reads = new LinearizableReads({ get }, this.cache, () => this.now);
+    this.listing(10, 0);
+  }
+
+  listing(epoch: number, began: number, whole = epoch): void {
+    this.cache.apply({ fresh: true, changes: [], epoch, whole, began });
+  }
+
+  news(epoch: number, began: number): void {
+    this.cache.apply({ fresh: false, changes: [], epoch, began });
+  }
+
+  ask(): void {
+    void this.reads.wait().then((since) => (this.shownSince = since));
+  }
+
+  /** A read of the watch is held for long enough that a probe is sent. */
+  async heldUntilProbe(): Promise<void> {
+    this.reads.reading(this.now);
+    this.now += HELD_READ_MS;
+    while (this.probes.length === 0) await sleep(HELD_READ_MS / 4);
+  }
+
+  answerProbe(epoch: number): void {
+    this.probes.shift()!({ missing: true, epoch });
+  }
+}
+
+interface Row {
+  readonly name: string;
+  readonly act: (scene: Scene) => Promise<void> | void;
+  /** steady ms since which the reader is told that the cache is current; null: it waits on */
+  readonly since: number | null;
+}
+
+const ROWS: readonly Row[] = [
+  { name: 'a read that began before', act: (s) => s.news(12, 99.9), since: null },
+  { name: 'a read that began in the same instant', act: (s) => s.news(12, 100), since: 100 },
+  { name: 'a read that began after', act: (s) => s.news(10, 100.1), since: 100 },
+  {
+    name: "an earlier read's answer that was held up, however late it comes",
+    act: (s) => {
+      s.now = 900;
+      s.news(500, 50);
+    },
+    since: null,
+  },
+  {
+    name: 'an own write that is ahead of the watch',
+    act: (s) => s.cache.applyOwn([{ put: 'term', value: 1 }], 90),
+    since: null,
+  },
+  {
+    name: 'a probe that finds the epoch of the cache',
+    act: async (s) => {
+      await s.heldUntilProbe();
+      s.answerProbe(10);
+    },
+    since: 100,
+  },
+  {
+    name: 'a probe that finds a later epoch, while only an own write has reached it',
+    act: async (s) => {
+      await s.heldUntilProbe();
+      s.cache.applyOwn([{ put: 'term', value: 1 }], 12);
+      s.answerProbe(12);
+    },
+    since: null,
+  },
+  {
+    name: 'a probe that finds a later epoch, which an older read then shows',
+    act: async (s) => {
+      await s.heldUntilProbe();
+      s.answerProbe(12);
+      await turn();
+      s.news(12, 60);
+    },
+    since: 100,
+  },
+  {
+    name: 'a listing that began after, as long as it shows a mixture',
+    act: (s) => s.listing(12, 101, 15),
+    since: null,
+  },
+  {
+    name: 'a listing that began after, once the watch has made it whole',
+    act: (s) => {
+      s.listing(12, 101, 15);
+      s.news(15, 102);
+    },
+    since: 100,
+  },
+  {
+    name: 'a listing older than an own write',
+    act: (s) => {
+      s.cache.applyOwn([{ put: 'term', value: 1 }], 20);
+      s.listing(12, 101);
+    },
+    since: null,
+  },
+];
+
+describe('what satisfies a linearizable read', () => {
+  for (const row of ROWS) {
+    test(row.name, async () => {
+      const scene = new Scene();
+      scene.ask();
+      await row.act(scene);
+      await turn();
+      assert.equal(scene.shownSince, row.since);
+      scene.reads.close();
+    });
+  }
+
+  test('a reader that comes while a probe is on its way needs one of its own', async () => {
+    const scene = new Scene();
+    scene.ask();
+    await scene.heldUntilProbe();
+    let second: number | null = null;
+    void scene.reads.wait().then((since) => (second = since));
+    scene.answerProbe(10);
+    await turn();
+    assert.equal(scene.shownSince, 100);
+    assert.equal(second, null);
+    while (scene.probes.length === 0) await sleep(HELD_READ_MS / 4);
+    scene.answerProbe(10);
+    await turn();
+    assert.equal(second, scene.now);
+    scene.reads.close();
+  });
+});
+
+test('reads of one key are shared until they leave, and not after', async () => {
+  const answers: ((found: Found) => void)[] = [];
+  const get = () => new Promise<Found>((resolve) => answers.push(resolve));
+  const reads = new SharedReads({ get });
+  const name = key.final('job-000001');
+  const early = [reads.read(name), reads.read(name)];
+  await sleep(READ_GATHER_MS * 3);
+  assert.equal(answers.length, 1, 'both left as one');
+  const late = reads.read(name);
+  await sleep(READ_GATHER_MS * 3);
+  assert.equal(answers.length, 2, 'the third came after they had left');
+  answers[0]!({ missing: true, epoch: 1 });
+  answers[1]!({ key: name, value: 1, revision: 2 });
+  for (const found of await Promise.all(early)) assert.ok('missing' in found);
+  assert.ok(!('missing' in (await late)));
+});
--- a/test/mixed-versions.test.ts
+++ b/test/mixed-versions.test.ts
@@ -162,7 +162,7 @@
         [second!, 'n0', 'n2'],
       ] as const) {
         c.doors.get(at)!.slowWritesMs = 1500;
-        const cut = c.call(at, 'POST', `/submissions/${uid}/withdraw`).catch(() => null);
+        const cut = c.ask(at, 'withdraw', uid);
         await c.pass(0.5);
         c.kill(at);
         await cut;
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -27,8 +27,8 @@
     assert.equal(await statusOf(n, body.Uid), 'done');
     // Whatever the rest of its body says, also if that could never run.
     for (const over of [{}, { Vcpus: 1000 }, { Pieces: 'x' }]) {
-      const a = await call(n, 'POST', '/submissions', { ...body, ...over });
-      assert.equal(a.status, 200);
+      const a = await c.ask(n, 'submit', body.Uid, { ...body, ...over });
+      assert.equal(a?.status, 200);
       assert.equal((a.body as { Status: string }).Status, 'done');
     }
   }
@@ -52,8 +52,8 @@
 test('a cancelled job is cancelled at every node, and its tasks are gone soon', async () => {
   const uid = await submit('n0', { Pieces: 40 });
   await until('some of it runs', 20, () => [...world.on.keys()].some((k) => k.startsWith(uid)));
-  const a = await call('n2', 'POST', `/submissions/${uid}/withdraw`);
-  assert.deepEqual([a.status, (a.body as { Status: string }).Status], [200, 'cancelled']);
+  const a = await c.ask('n2', 'withdraw', uid);
+  assert.deepEqual([a?.status, (a?.body as { Status: string }).Status], [200, 'cancelled']);
   for (const n of NAMES) assert.equal(await statusOf(n, uid), 'cancelled');
   const running = () => [...world.on].some(([k, m]) => k.startsWith(uid) && m.size > 0);
   await until('its tasks are gone', 5, () => !running());
--- a/test/standins/answer-history.ts
+++ b/test/standins/answer-history.ts
@@ -35,6 +35,12 @@
     return this.#told.get(uid)?.final ?? null;
   }
 
+  /** A job that was submitted before the test began. */
+  submittedBefore(uid: string): void {
+    this.#submitted.add(uid);
+  }
+
+  /** To be called when a request leaves its user. */
   sent(call: UserCall, uid: string): SentRequest {
     if (call === 'submit') this.#submitted.add(uid);
     if (call === 'withdraw') this.#cancelRequested.add(uid);
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -4,6 +4,7 @@
 import { partOfTeam } from '../../src/core/jobs.js';
 import type { Team } from '../../src/core/model.js';
 import { CborClient, type Answer } from '../../src/http.js';
+import { AnswerHistory, type UserCall } from './answer-history.js';
 import { FakeCloud, type WorkerHost } from './cloud.js';
 import { createController, type Controller, type Version } from './controllers.js';
 import { Link } from './link.js';
@@ -15,6 +16,8 @@
 const FIRST_PORT = 10_000;
 
 export interface ClusterOptions {
+  /** number of controllers; three if not given */
+  readonly controllers?: number;
   readonly runMs: number | ((index: number) => number);
   readonly leaseS: number;
   readonly cancelS: number;
@@ -42,10 +45,11 @@
 
 /** Whole controllers on loopback, each way between them and to the state service open to trouble. */
 export class Cluster {
-  readonly names = ['n0', 'n1', 'n2'];
+  readonly names: readonly string[];
   readonly state = new FakeStateService();
   readonly doors = new Map<string, StateDoor>();
   readonly world: World;
+  readonly history: AnswerHistory;
   cloud!: FakeCloud;
   readonly #controllers = new Map<string, Controller>();
   /** by node, its last life on its way out */
@@ -62,7 +66,10 @@
   #port = FIRST_PORT;
 
   constructor(readonly options: ClusterOptions) {
+    const { controllers = 3 } = options;
+    this.names = Array.from({ length: controllers }, (_, index) => `n${index}`);
     this.world = new World(options.cancelS * 1000);
+    this.history = new AnswerHistory(this.world.broken);
   }
 
   #nextAddress(): string {
@@ -73,7 +80,11 @@
   async open(): Promise<void> {
     this.state.host = this.#host;
     await this.state.start();
-    this.state.seed(this.options.seed ?? {});
+    const { seed = {} } = this.options;
+    this.state.seed(seed);
+    for (const name of Object.keys(seed)) {
+      if (name.startsWith('active/')) this.history.submittedBefore(name.slice('active/'.length));
+    }
     const listen = new Map<string, string>();
     const peerListen = new Map<string, string>();
     for (const n of this.names) {
@@ -189,20 +200,25 @@
     return (await this.call(node, 'GET', '/ready').catch(() => null))?.status === 200;
   }
 
-  readonly #ended = new Map<string, string>();
-  /** What a node says of a job; an answer older than one given before breaks a rule. */
+  /** A call of a user. Every answer is judged by what users had been told when the call was sent. */
+  async ask(node: string, call: UserCall, uid: string, body?: unknown): Promise<Answer | null> {
+    const sent = this.history.sent(call, uid);
+    const method = call === 'query' ? 'GET' : 'POST';
+    const path = call === 'submit' ? '/submissions' : `/submissions/${uid}`;
+    const whole = call === 'withdraw' ? `${path}/withdraw` : path;
+    const answer = await this.call(node, method, whole, body).catch(() => null);
+    this.history.received(sent, answer, node);
+    return answer;
+  }
+
+  /** What a node says of a job. */
   async statusOf(node: string, uid: string): Promise<string> {
-    const a = await this.call(node, 'GET', `/submissions/${uid}`).catch(() => null);
+    const a = await this.ask(node, 'query', uid);
     const status = a?.status === 200 ? (a.body as { Status: string }).Status : String(a?.status);
-    const before = this.#ended.get(uid);
-    if (before !== undefined && before !== status && (a?.status === 200 || a?.status === 404)) {
-      this.world.broken.push(`went_back ${uid}: ${before}, then ${status} at ${node}`);
-    }
     const tasks = this.world.jobs.get(uid)?.tasks ?? 0;
     if (status === 'done' && (this.world.completed.get(uid)?.size ?? 0) < tasks) {
       this.world.broken.push(`not_done ${uid}`);
     }
-    if (status === 'done' || status === 'cancelled') this.#ended.set(uid, status);
     return status;
   }
 
@@ -238,7 +254,7 @@
     const rules = { team: body.Owner, tasks: body.Pieces, cpus: body.Vcpus, zone: body.Site };
     this.world.jobs.set(body.Uid, { ...rules, oneZone: body.OneZone, spread: body.Spread });
     await this.until(`${body.Uid} accepted`, 20, async () => {
-      const a = await this.call(node, 'POST', '/submissions', body).catch(() => null);
+      const a = await this.ask(node, 'submit', body.Uid, body);
       return a?.status === 201 || a?.status === 200;
     });
     return body.Uid;
@@ -250,38 +266,27 @@
    */
   async look(body: ReturnType<Cluster['submission']>): Promise<void> {
     const uid = body.Uid;
-    const before = this.#ended.get(uid);
     const answers = await Promise.all(
-      this.names.flatMap((n) => [
-        this.call(n, 'GET', `/submissions/${uid}`).catch(() => null),
-        this.call(n, 'POST', '/submissions', body).catch(() => null),
-      ]),
+      this.names.flatMap((n) => [this.ask(n, 'query', uid), this.ask(n, 'submit', uid, body)]),
     );
     for (const a of answers) {
       if (a === null) continue;
       if (a.status === 404 || a.status === 400 || a.status === 422 || a.status === 201) {
         this.world.broken.push(`forgotten ${uid}: ${a.status}`);
       }
-      if (a.status !== 200) continue;
-      const { Status } = a.body as { Status: string };
-      if (before !== undefined && Status !== before) {
-        this.world.broken.push(`went_back ${uid}: ${before}, then ${Status}`);
-      }
-      if (Status === 'done' || Status === 'cancelled') this.#ended.set(uid, Status);
     }
   }
 
   /** The user is told that the job is cancelled: from now on the rule's time runs. */
   async cancel(node: string, uid: string): Promise<string> {
     await this.until(`${uid} cancelled`, 20, async () => {
-      const a = await this.call(node, 'POST', `/submissions/${uid}/withdraw`).catch(() => null);
+      const a = await this.ask(node, 'withdraw', uid);
       if (a?.status !== 200) return false;
       const { Status } = a.body as { Status: string };
-      this.#ended.set(uid, Status);
       if (Status === 'cancelled') this.world.cancelledAt.set(uid, Date.now());
       return true;
     });
-    return this.#ended.get(uid)!;
+    return this.history.finalOf(uid)!;
   }
 
   /** The node that the part of a team with a limit belongs to while all live. */
