Watch apart from its cache, the users' routes as a class, settings of Jobs in one object

Readable code; no change of behaviour. The stream that watches the state service is src/state/watch.ts, the cache src/state/watch-cache.ts. npm test: 436 passed.

--- a/src/service.ts
+++ b/src/service.ts
@@ -37,7 +37,8 @@
 import { StateClient } from './state/client.js';
 import { LinearizableReads } from './state/linearizable-reads.js';
 import { NodeLease } from './state/lease.js';
-import { feed, WatchCache, type FeedBatch } from './state/watch-cache.js';
+import { watch, type WatchBatch } from './state/watch.js';
+import { WatchCache } from './state/watch-cache.js';
 import { userRoutes } from './users/api.js';
 import { JobReader } from './users/job-reader.js';
 import { Jobs } from './users/jobs.js';
@@ -157,10 +158,12 @@
         termOf: (part) => this.#partController.termOf(part),
         random: this.#random,
       },
-      config.teams,
-      config.nodes,
-      config.stateLimits.valueBytes,
-      operator.loadThreshold,
+      {
+        teams: config.teams,
+        parts: config.nodes,
+        valueBytes: config.stateLimits.valueBytes,
+        loadThreshold: operator.loadThreshold,
+      },
       this.#now,
     );
     this.#cache.on('change', () => this.#reconcileSoon());
@@ -171,7 +174,7 @@
     await this.#gossip.listen(this.config.peerListen);
     await this.#listen();
     this.#background('lease', this.#lease.run());
-    this.#background('feed', this.#follow());
+    this.#background('watch', this.#follow());
     this.#background('machine types', this.#types.run(this.#stop.signal));
     this.#tickIn(LOOP_MS);
     this.#timers.push(setInterval(() => this.#summarize(), SUMMARY_MS));
@@ -241,8 +244,8 @@
       now: this.#now,
       reading: (since: number | null) => this.#linearizable.reading(since),
     };
-    for await (const batch of feed(this.#state, this.#stop.signal, options)) {
-      this.#cache.apply(batch as FeedBatch);
+    for await (const batch of watch(this.#state, this.#stop.signal, options)) {
+      this.#cache.apply(batch as WatchBatch);
     }
   }
 
--- a/src/state/watch-cache.ts
+++ b/src/state/watch-cache.ts
@@ -1,8 +1,7 @@
 import { EventEmitter } from 'node:events';
-import { Readable } from 'node:stream';
-import { FINALS_IN_MEMORY, FOLLOW_BLOCK_MS, LIST_PAGE, STATE_PAUSE_MS } from '../constants.js';
-import { setTimeout as sleep } from 'node:timers/promises';
-import { StateTrouble, type Change, type StateClient } from './client.js';
+import { FINALS_IN_MEMORY } from '../constants.js';
+import type { Change } from './client.js';
+import type { WatchBatch } from './watch.js';
 import type { Write } from '../wire/schemas.js';
 import type { Cancellation } from '../core/cancellations.js';
 import { eitherDone } from '../core/jobs.js';
@@ -10,7 +9,6 @@
 import {
   FINAL,
   key,
-  CACHED_PREFIXES,
   decodeFinal,
   machinesOf,
   prefixOf,
@@ -21,87 +19,7 @@
   type Decoded,
 } from './keys.js';
 
-/** One step of the feed: what changed, and up to which epoch everything is known. */
-export interface FeedBatch {
-  /** a new listing replaces everything known before */
-  readonly fresh: boolean;
-  readonly changes: readonly Change[];
-  /** everything up to here is known; of a listing: the epoch of its first page */
-  readonly epoch: number;
-  /** a listing's last epoch: until the changes reach it, it shows a mixture */
-  readonly whole?: number;
-  /** steady ms at which the read began: what was committed before it is in the cache now */
-  readonly began?: number;
-}
-
-/** How the feed reads; `held` is told when a read begins and ends. */
-export interface FeedOptions {
-  readonly pauseMs: number;
-  readonly now: () => number;
-  readonly reading?: (since: number | null) => void;
-}
-
-/**
- * The feed of the state service as an object stream: first a listing, then every change. An answer
- * of 410 starts over with a listing.
- */
-export const feed = (client: StateClient, signal: AbortSignal, options: FeedOptions): Readable =>
-  Readable.from(steps(client, signal, options), { objectMode: true, highWaterMark: 1 });
-
-async function* steps(
-  client: StateClient,
-  signal: AbortSignal,
-  { pauseMs, now, reading }: FeedOptions,
-): AsyncGenerator<FeedBatch> {
-  let since: number | null = null;
-  while (!signal.aborted) {
-    const began = now();
-    try {
-      if (since === null) {
-        const listing: FeedBatch = await listAll(client);
-        yield { ...listing, began };
-        since = listing.epoch;
-      } else {
-        reading?.(began);
-        const step = await client.follow(since, FOLLOW_BLOCK_MS);
-        reading?.(null);
-        if (step === null) {
-          since = null;
-          continue;
-        }
-        since = Math.max(since, step.epoch);
-        yield { fresh: false, changes: step.changes, epoch: since, began };
-        await sleep(pauseMs);
-      }
-    } catch (error) {
-      reading?.(null);
-      if (!(error instanceof StateTrouble)) throw error;
-      // The client keeps the part's state on trouble; here it only means: later again.
-      await sleep(STATE_PAUSE_MS);
-    }
-  }
-}
-
-/** Pages are read at different epochs, so changes are followed from the first one's. */
-const listAll = async (client: StateClient): Promise<FeedBatch> => {
-  const changes: Change[] = [];
-  let from = Infinity;
-  let whole = 0;
-  for (const prefix of CACHED_PREFIXES) {
-    let since: string | null = null;
-    for (;;) {
-      const page = await client.list(prefix, since, LIST_PAGE);
-      from = Math.min(from, page.epoch);
-      whole = Math.max(whole, page.epoch);
-      for (const e of page.entries) changes.push({ ...e, removed: false });
-      const last = page.entries.at(-1);
-      if (!page.more || last === undefined) break;
-      since = last.key;
-    }
-  }
-  return { fresh: true, changes, epoch: from, whole };
-};
-
+/** A value of the state service, and the revision of its last change. */
 export interface Cached<T> {
   readonly value: T;
   readonly revision: number;
@@ -112,15 +30,22 @@
   readonly jobs: Set<string>;
   machines: boolean;
 }
+/** A machine, with the group whose value holds it. */
 export interface CachedMachine extends Cached<MachineRecord> {
   readonly group: string;
 }
 type Tables = { [P in Prefix]: Map<string, Cached<Decoded[P]>> };
 
 /** The protocol promises no order of a watch's changes; taken in another one, a removal could come first. */
-const inOrder = ({ fresh, changes }: FeedBatch): readonly Change[] =>
+const inOrder = ({ fresh, changes }: WatchBatch): readonly Change[] =>
   fresh ? changes : changes.toSorted((a, b) => a.revision - b.revision);
 
+/** A write of our own as the watch will show it. */
+const changeOf = (write: Write, revision: number): Change =>
+  'drop' in write
+    ? { key: write.drop, revision, value: undefined, removed: true }
+    : { key: write.put, revision, value: write.value, removed: false };
+
 const emptyTables = (): Tables => ({
   'active/': new Map(),
   'done/': new Map(),
@@ -148,7 +73,7 @@
   /** steady ms: everything that was committed before is shown */
   currentAt = -Infinity;
   #ownEpoch = -1;
-  /** keys that we removed ahead of the feed: older changes must not bring them back */
+  /** keys that we removed ahead of the watch: older changes must not bring them back */
   readonly #removed = new Map<string, number>();
   /** the listing's last page: before this epoch the cache may show a mixture */
   #whole = Infinity;
@@ -157,7 +82,7 @@
     return this.epoch >= this.#whole;
   }
 
-  apply(batch: FeedBatch): void {
+  apply(batch: WatchBatch): void {
     if (batch.fresh) {
       this.tables = emptyTables();
       this.machines.clear();
@@ -170,7 +95,9 @@
     this.epoch = batch.epoch;
     this.currentAt = Math.max(this.currentAt, batch.began ?? -Infinity);
     if (batch.fresh || batch.changes.length > 0) this.version += 1;
-    for (const [k, revision] of this.#removed) if (revision <= this.epoch) this.#removed.delete(k);
+    for (const [name, revision] of this.#removed) {
+      if (revision <= this.epoch) this.#removed.delete(name);
+    }
     this.emit('change', batch);
   }
 
@@ -181,14 +108,11 @@
    */
   applyOwn(writes: readonly Write[], epoch: number): void {
     const covered = epoch <= this.epoch;
-    for (const w of writes) {
-      const removed = 'drop' in w;
-      const change = removed
-        ? { key: w.drop, revision: epoch, value: undefined, removed }
-        : { key: w.put, revision: epoch, value: w.value, removed };
+    for (const write of writes) {
+      const change = changeOf(write, epoch);
       if (covered && !change.key.startsWith(FINAL)) continue;
       this.#change(change);
-      if (removed) this.#removed.set(change.key, epoch);
+      if (change.removed) this.#removed.set(change.key, epoch);
     }
     if (covered) return;
     this.#ownEpoch = Math.max(this.#ownEpoch, epoch);
@@ -204,8 +128,8 @@
     }
     const prefix = prefixOf(change.key);
     if (prefix === null) return;
-    const table = this.tables[prefix] as Map<string, Cached<unknown>>;
     const id = change.key.slice(prefix.length);
+    const table = this.tables[prefix] as Map<string, Cached<unknown>>;
     const known = table.get(id);
     // Of the same revision: our own write, which is shown already.
     if (known !== undefined && known.revision >= change.revision) return;
@@ -215,12 +139,16 @@
       const old = known?.value as MachineGroup | undefined;
       this.#regroup(id, old, value as MachineGroup | undefined, change.revision);
     }
-    if (prefix === 'active/') this.#changed.jobs.add(id);
-    else if (prefix === 'machines/') this.#changed.machines = true;
+    this.#noteChange(prefix, id);
     if (change.removed) table.delete(id);
     else table.set(id, { value, revision: change.revision });
   }
 
+  #noteChange(prefix: Prefix, id: string): void {
+    if (prefix === 'active/') this.#changed.jobs.add(id);
+    else if (prefix === 'machines/') this.#changed.machines = true;
+  }
+
   #regroup(
     group: string,
     old: MachineGroup | undefined,
@@ -259,7 +187,7 @@
     return found;
   }
 
-  /** A cancellation that another node tells of, ahead of the feed, and without the state service. */
+  /** A cancellation that another node tells of, ahead of the watch, and without the state service. */
   learnCancelled({ uid, tasks, done, epoch }: Cancellation): void {
     if (this.finals.has(uid)) return;
     const final: FinalState = { status: 'cancelled', tasks, done };
--- /dev/null
+++ b/src/state/watch.ts
@@ -0,0 +1,90 @@
+import { Readable } from 'node:stream';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { FOLLOW_BLOCK_MS, LIST_PAGE, STATE_PAUSE_MS } from '../constants.js';
+import { StateTrouble, type Change, type StateClient } from './client.js';
+import { CACHED_PREFIXES } from './keys.js';
+
+/** One answer of the watch: what changed, and up to which epoch everything is known. */
+export interface WatchBatch {
+  /** a new listing replaces everything known before */
+  readonly fresh: boolean;
+  readonly changes: readonly Change[];
+  /** everything up to here is known; of a listing: the epoch of its first page */
+  readonly epoch: number;
+  /** a listing's last epoch: until the changes reach it, it shows a mixture */
+  readonly whole?: number;
+  /** steady ms at which the read began: what was committed before it is in the cache now */
+  readonly began?: number;
+}
+
+/** How the watch reads. */
+export interface WatchOptions {
+  /** ms between two reads */
+  readonly pauseMs: number;
+  /** the steady clock, in ms */
+  readonly now: () => number;
+  /** told when a read begins, and with null when it ends */
+  readonly reading?: (since: number | null) => void;
+}
+
+type WatchClient = Pick<StateClient, 'list' | 'follow'>;
+
+/**
+ * Watches the state service, as a stream of `WatchBatch`: first a listing, then every change. An
+ * answer of 410 starts over with a listing.
+ */
+export const watch = (client: WatchClient, signal: AbortSignal, options: WatchOptions): Readable =>
+  Readable.from(batches(client, signal, options), { objectMode: true, highWaterMark: 1 });
+
+async function* batches(
+  client: WatchClient,
+  signal: AbortSignal,
+  { pauseMs, now, reading }: WatchOptions,
+): AsyncGenerator<WatchBatch> {
+  let since: number | null = null;
+  while (!signal.aborted) {
+    const began = now();
+    try {
+      if (since === null) {
+        const listing: WatchBatch = await listAll(client);
+        yield { ...listing, began };
+        since = listing.epoch;
+      } else {
+        reading?.(began);
+        const answer = await client.follow(since, FOLLOW_BLOCK_MS);
+        reading?.(null);
+        if (answer === null) {
+          since = null;
+          continue;
+        }
+        since = Math.max(since, answer.epoch);
+        yield { fresh: false, changes: answer.changes, epoch: since, began };
+        await sleep(pauseMs);
+      }
+    } catch (error) {
+      reading?.(null);
+      if (!(error instanceof StateTrouble)) throw error;
+      await sleep(STATE_PAUSE_MS);
+    }
+  }
+}
+
+/** Pages are read at different epochs, so changes are followed from the first one's. */
+const listAll = async (client: WatchClient): Promise<WatchBatch> => {
+  const changes: Change[] = [];
+  let from = Infinity;
+  let whole = 0;
+  for (const prefix of CACHED_PREFIXES) {
+    let since: string | null = null;
+    for (;;) {
+      const page = await client.list(prefix, since, LIST_PAGE);
+      from = Math.min(from, page.epoch);
+      whole = Math.max(whole, page.epoch);
+      for (const entry of page.entries) changes.push({ ...entry, removed: false });
+      const last = page.entries.at(-1);
+      if (!page.more || last === undefined) break;
+      since = last.key;
+    }
+  }
+  return { fresh: true, changes, epoch: from, whole };
+};
--- a/src/users/api.ts
+++ b/src/users/api.ts
@@ -27,6 +27,7 @@
   steady(): number;
 }
 
+/** Nothing was decided within the time that a user waits. */
 class TooSlow extends Error {}
 
 /** Anything that is not decided in time is refused, so that nobody waits for nothing. */
@@ -47,64 +48,52 @@
 
 const claimedUid = z.object({ Uid: z.string().regex(UID_FORM) });
 
-export const userRoutes = (side: UserSide): Koa.Middleware => {
-  let waiting = 0;
+/** The users' routes of one controller. */
+class UserRoutes {
+  /** requests that are being served */
+  #waiting = 0;
 
-  const refuse = (ctx: Koa.Context, reason: string, waitMs = 0): void => {
-    const least = Math.min(RETRY_AFTER_S.most, Math.max(RETRY_AFTER_S.least, waitMs / 1000));
-    const seconds = Math.ceil(least) + side.random(RETRY_AFTER_S.spread + 1);
-    ctx.set('Retry-After', String(seconds));
-    send(ctx, 503, { error: reason });
-  };
-  const refuseWithoutState = (ctx: Koa.Context): void =>
-    refuse(ctx, 'the state service does not answer');
+  constructor(private readonly side: UserSide) {}
 
-  /** Only a final state that is known here can be told while the state service does not answer. */
-  const answerable = (uid: string): boolean =>
-    side.stateUp() || side.reader.knownFinal(uid) !== undefined;
-
-  /** The one place where a user is told the state of a job. */
-  const tell = (
-    { ctx, uid, arrivedAt }: JobRequest,
-    reading: JobReading,
-    accepted = false,
-  ): void => {
-    const answer = side.reader.tellable(uid, reading, arrivedAt);
-    if (answer === null) refuse(ctx, 'the state was read before the request came in');
-    else if (answer.kind === 'missing') send(ctx, 404, { error: 'no such job' });
-    else if (answer.kind === 'final') {
-      const { status, done } = answer.final;
-      if (status === 'cancelled') side.cancelled(uid);
-      send(ctx, 200, statusBody(uid, status, done, 0));
-    } else if (accepted) send(ctx, 201, statusBody(uid, 'queued'));
-    else {
-      const { done, running } = side.progress(uid);
-      const status: JobStatus = running > 0 ? 'running' : 'queued';
-      send(ctx, 200, statusBody(uid, status, done, running));
+  async handle(ctx: Koa.Context, next: Koa.Next): Promise<void> {
+    if (ctx.path === '/ready' && ctx.method === 'GET') return this.#ready(ctx);
+    if (ctx.path !== '/submissions' && !ctx.path.startsWith('/submissions/')) {
+      await next();
+      return;
     }
-  };
-
-  /** A repeat of an accepted job gets its state, whatever else its body says. */
-  const refuseMalformed = async (
-    ctx: Koa.Context,
-    body: unknown,
-    error: z.ZodError,
-    arrivedAt: number,
-  ): Promise<void> => {
-    const uid = claimedUid.safeParse(body).data?.Uid;
-    if (uid !== undefined) {
-      if (!answerable(uid)) return refuseWithoutState(ctx);
-      const reading = await inTime(side.reader.read(uid));
-      if (reading.answer.kind !== 'missing') return tell({ ctx, uid, arrivedAt }, reading);
+    if (this.#waiting >= USER_WAITING_LIMIT) return this.#refuse(ctx, 'too many requests wait');
+    this.#waiting += 1;
+    try {
+      await this.#dispatch(ctx);
+    } catch (error) {
+      if (error instanceof WireError) send(ctx, 400, { error: error.message });
+      else if (error instanceof StateTrouble || error instanceof TooSlow)
+        this.#refuse(ctx, error.message);
+      else throw error;
+    } finally {
+      this.#waiting -= 1;
     }
-    const first = error.issues[0];
-    const reason = `${first?.path.join('.') ?? ''}: ${first?.message ?? ''}`;
-    side.malformed(reason);
-    send(ctx, 400, { error: reason });
-  };
+  }
+
+  #ready(ctx: Koa.Context): void {
+    if (this.side.ready()) send(ctx, 200, { ready: true });
+    else this.#refuse(ctx, 'not ready');
+  }
 
-  const submit = async (ctx: Koa.Context): Promise<void> => {
-    const arrivedAt = side.steady();
+  async #dispatch(ctx: Koa.Context): Promise<void> {
+    const arrivedAt = this.side.steady();
+    const [, , uid, verb] = ctx.path.split('/');
+    if (uid === undefined && ctx.method === 'POST') return this.#submit(ctx, arrivedAt);
+    if (uid === undefined || (verb !== undefined && verb !== 'withdraw')) return;
+    if (verb === undefined && ctx.method !== 'GET') return;
+    if (verb === 'withdraw' && ctx.method !== 'POST') return;
+    if (!UID_FORM.test(uid)) return send(ctx, 404, { error: 'no such job' });
+    const request = { ctx, uid, arrivedAt };
+    return verb === undefined ? this.#query(request) : this.#withdraw(request);
+  }
+
+  async #submit(ctx: Koa.Context, arrivedAt: number): Promise<void> {
+    const { side } = this;
     const bytes = await readBody(ctx.req);
     if (bytes === null) {
       ctx.set('Connection', 'close');
@@ -112,64 +101,90 @@
     }
     const body = fromBytes(bytes);
     const parsed = submission.safeParse(body);
-    if (!parsed.success) return refuseMalformed(ctx, body, parsed.error, arrivedAt);
+    if (!parsed.success) return this.#malformed(ctx, body, parsed.error, arrivedAt);
     const { uid } = parsed.data;
-    if (!answerable(uid)) return refuseWithoutState(ctx);
+    if (!this.#answerable(uid)) return this.#refuseWithoutState(ctx);
     const result = await inTime(side.jobs.submit(parsed.data, side.timeOfDay()));
     const request = { ctx, uid, arrivedAt };
     switch (result.kind) {
       case 'accepted':
         side.accepted(parsed.data, side.steady() - arrivedAt);
-        return tell(request, result.reading, true);
+        return this.#tell(request, result.reading, true);
       case 'known':
-        return tell(request, result.reading);
+        return this.#tell(request, result.reading);
       case 'never':
         return send(ctx, 422, { error: result.reason });
       case 'undecided':
-        return refuse(ctx, result.reason, result.waitMs);
+        return this.#refuse(ctx, result.reason, result.waitMs);
     }
-  };
+  }
 
-  const query = async (request: JobRequest): Promise<void> => {
-    if (!answerable(request.uid)) return refuseWithoutState(request.ctx);
-    tell(request, await inTime(side.reader.read(request.uid)));
-  };
+  /** A repeat of an accepted job gets its state, whatever else its body says. */
+  async #malformed(
+    ctx: Koa.Context,
+    body: unknown,
+    error: z.ZodError,
+    arrivedAt: number,
+  ): Promise<void> {
+    const uid = claimedUid.safeParse(body).data?.Uid;
+    if (uid !== undefined) {
+      if (!this.#answerable(uid)) return this.#refuseWithoutState(ctx);
+      const reading = await inTime(this.side.reader.read(uid));
+      if (reading.answer.kind !== 'missing') return this.#tell({ ctx, uid, arrivedAt }, reading);
+    }
+    const first = error.issues[0];
+    const reason = `${first?.path.join('.') ?? ''}: ${first?.message ?? ''}`;
+    this.side.malformed(reason);
+    send(ctx, 400, { error: reason });
+  }
 
-  const withdraw = async (request: JobRequest): Promise<void> => {
-    if (!answerable(request.uid)) return refuseWithoutState(request.ctx);
-    tell(request, await inTime(side.jobs.cancel(request.uid)));
-  };
+  async #query(request: JobRequest): Promise<void> {
+    if (!this.#answerable(request.uid)) return this.#refuseWithoutState(request.ctx);
+    this.#tell(request, await inTime(this.side.reader.read(request.uid)));
+  }
 
-  const dispatch = async (ctx: Koa.Context): Promise<void> => {
-    const arrivedAt = side.steady();
-    const [, , uid, verb] = ctx.path.split('/');
-    if (uid === undefined && ctx.method === 'POST') return submit(ctx);
-    if (uid === undefined || (verb !== undefined && verb !== 'withdraw')) return;
-    if (verb === undefined && ctx.method !== 'GET') return;
-    if (verb === 'withdraw' && ctx.method !== 'POST') return;
-    if (!UID_FORM.test(uid)) return send(ctx, 404, { error: 'no such job' });
-    const request = { ctx, uid, arrivedAt };
-    return verb === undefined ? query(request) : withdraw(request);
-  };
+  async #withdraw(request: JobRequest): Promise<void> {
+    if (!this.#answerable(request.uid)) return this.#refuseWithoutState(request.ctx);
+    this.#tell(request, await inTime(this.side.jobs.cancel(request.uid)));
+  }
 
-  return async (ctx, next) => {
-    if (ctx.path === '/ready' && ctx.method === 'GET') {
-      if (side.ready()) send(ctx, 200, { ready: true });
-      else refuse(ctx, 'not ready');
-      return;
-    }
-    if (ctx.path !== '/submissions' && !ctx.path.startsWith('/submissions/')) return next();
-    if (waiting >= USER_WAITING_LIMIT) return refuse(ctx, 'too many requests wait');
-    waiting += 1;
-    try {
-      await dispatch(ctx);
-    } catch (error) {
-      if (error instanceof WireError) send(ctx, 400, { error: error.message });
-      else if (error instanceof StateTrouble || error instanceof TooSlow)
-        refuse(ctx, error.message);
-      else throw error;
-    } finally {
-      waiting -= 1;
+  /** The one place where a user is told the state of a job; `accepted`: by this very request. */
+  #tell({ ctx, uid, arrivedAt }: JobRequest, reading: JobReading, accepted = false): void {
+    const { side } = this;
+    const answer = side.reader.tellable(uid, reading, arrivedAt);
+    if (answer === null) this.#refuse(ctx, 'the state was read before the request came in');
+    else if (answer.kind === 'missing') send(ctx, 404, { error: 'no such job' });
+    else if (answer.kind === 'final') {
+      const { status, done } = answer.final;
+      if (status === 'cancelled') side.cancelled(uid);
+      send(ctx, 200, statusBody(uid, status, done, 0));
+    } else if (accepted) send(ctx, 201, statusBody(uid, 'queued'));
+    else {
+      const { done, running } = side.progress(uid);
+      const status: JobStatus = running > 0 ? 'running' : 'queued';
+      send(ctx, 200, statusBody(uid, status, done, running));
     }
-  };
+  }
+
+  /** Only a final state that is known here can be told while the state service does not answer. */
+  #answerable(uid: string): boolean {
+    return this.side.stateUp() || this.side.reader.knownFinal(uid) !== undefined;
+  }
+
+  #refuseWithoutState(ctx: Koa.Context): void {
+    this.#refuse(ctx, 'the state service does not answer');
+  }
+
+  #refuse(ctx: Koa.Context, reason: string, waitMs = 0): void {
+    const least = Math.min(RETRY_AFTER_S.most, Math.max(RETRY_AFTER_S.least, waitMs / 1000));
+    const seconds = Math.ceil(least) + this.side.random(RETRY_AFTER_S.spread + 1);
+    ctx.set('Retry-After', String(seconds));
+    send(ctx, 503, { error: reason });
+  }
+}
+
+/** Routes for users: submissions, questions, cancellations, and whether the node is ready. */
+export const userRoutes = (side: UserSide): Koa.Middleware => {
+  const routes = new UserRoutes(side);
+  return (ctx, next) => routes.handle(ctx, next);
 };
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -39,6 +39,17 @@
   random(below: number): number;
 }
 
+/** Settings that decide what is accepted, and where it goes. */
+export interface JobSettings {
+  readonly teams: ReadonlyMap<string, Team>;
+  /** number of parts */
+  readonly parts: number;
+  /** what a value of the state service holds */
+  readonly valueBytes: number;
+  /** booked share of a part's machines under which tasks may go to it at random */
+  readonly loadThreshold: number;
+}
+
 /** Accepts and cancels jobs by transactions. */
 export class Jobs {
   readonly #sentAway = new Map<string, { spec: JobSpec; at: number }>();
@@ -50,10 +61,7 @@
     private readonly cache: WatchCache,
     private readonly reader: JobReader,
     private readonly routing: Routing,
-    private readonly teams: ReadonlyMap<string, Team>,
-    private readonly parts: number,
-    private readonly valueBytes: number,
-    private readonly loadThreshold: number,
+    private readonly settings: JobSettings,
     /** steady ms */
     private readonly now: () => number,
   ) {}
@@ -78,7 +86,7 @@
     if (final !== undefined) return { kind: 'known', reading: finalReading(final) };
     const types = this.routing.types();
     if (types === null) return { kind: 'undecided', reason: 'machine types are not known yet' };
-    const verdict = admit(spec, types.values(), this.teams);
+    const verdict = admit(spec, types.values(), this.settings.teams);
     if (verdict !== 'accept') {
       // A repeat of an accepted job is answered with its state, whatever the body says now.
       return this.#ifKnown(spec.uid, { kind: 'never', reason: verdict });
@@ -125,7 +133,7 @@
     if (ranges === null) return { kind: 'undecided', reason: 'parts have no owner yet' };
     const job: JobRecord = { spec: this.#compact(spec, types), at: acceptedAt, ranges };
     const value = encodeActive(job);
-    if (JSON.stringify(value).length > this.valueBytes) {
+    if (JSON.stringify(value).length > this.settings.valueBytes) {
       return this.#ifKnown(spec.uid, { kind: 'never', reason: 'record_too_large' });
     }
     const writes: Write[] = [{ put: key.active(spec.uid), value }];
@@ -148,29 +156,28 @@
 
   /** Long lists of machine types are cut to those that exist, to fit a value's size. */
   #compact(spec: JobSpec, types: ReadonlyMap<string, MachineType>): JobSpec {
-    const most = Math.min(TYPE_LIST_BYTES, this.valueBytes / 4);
+    const most = Math.min(TYPE_LIST_BYTES, this.settings.valueBytes / 4);
     if (spec.types === null || spec.types.length * NAME_LIMIT < most) return spec;
-    return { ...spec, types: [...new Set(spec.types)].filter((t) => types.has(t)) };
+    return { ...spec, types: [...new Set(spec.types)].filter((name) => types.has(name)) };
   }
 
+  /** Cuts the job into ranges and chooses a part for each; null while a part has no owner. */
   #route(spec: JobSpec): TaskRange[] | null {
-    const team = this.teams.get(spec.team);
+    const { teams, parts, valueBytes, loadThreshold } = this.settings;
+    const team = teams.get(spec.team);
     const whole = staysWhole(spec, team);
+    const booked = hasLimit(team) || hasGuarantee(team);
     const loads = [...this.routing.loads(spec)];
+    const choose = () => choosePart(loads, loadThreshold, (below) => this.routing.random(below));
+    const home = booked ? partOfTeam(spec.team, parts) : choose();
     const out: TaskRange[] = [];
-    const booked = hasLimit(team) || hasGuarantee(team);
-    const home = booked
-      ? partOfTeam(spec.team, this.parts)
-      : choosePart(loads, this.loadThreshold, (n) => this.routing.random(n));
-    for (const [from, to] of cutRanges(spec.tasks, this.parts, whole, rangeMost(this.valueBytes))) {
-      const part = whole
-        ? home
-        : choosePart(loads, this.loadThreshold, (n) => this.routing.random(n));
+    for (const [from, to] of cutRanges(spec.tasks, parts, whole, rangeMost(valueBytes))) {
+      const part = whole ? home : choose();
       const era = this.routing.termOf(part);
       if (era === null) return null;
       out.push({ from, to, part, era });
       // The next range of this job should not meet the same least loaded part.
-      const at = loads.findIndex((l) => l.part === part);
+      const at = loads.findIndex((load) => load.part === part);
       const chosen = loads[at];
       if (!whole && chosen !== undefined) {
         loads[at] = { ...chosen, load: chosen.load + LOAD_PER_RANGE };
