--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -88,7 +88,7 @@
   readonly transactionOps: number;
 }
 
-const keyOf = (w: Write): string => ('put' in w ? w.put : w.drop);
+const keyOf = (write: Write): string => ('put' in write ? write.put : write.drop);
 
 const burst = (rate: number) => Math.max(STATE_BURST_LEAST, rate * STATE_BURST_S);
 
@@ -104,9 +104,9 @@
   /** steady ms of the last answer that shows the service working */
   lastGood = -Infinity;
   #troubles = 0;
-  /** the limits that have come down to what was announced */
   /** what was refused for good: the same is not sent again */
   readonly #invalid = new Set<string>();
+  /** the limits that have come down to what was announced */
   readonly #lowered = { rps: false, writeRps: false };
 
   constructor(
--- a/src/state/linearizable-reads.ts
+++ b/src/state/linearizable-reads.ts
@@ -4,6 +4,7 @@
 import type { WatchCache } from './watch-cache.js';
 
 interface Waiter {
+  /** steady ms of the call */
   readonly asked: number;
   /** a probe that began after the request found this epoch */
   epoch: number | null;
@@ -52,9 +53,10 @@
   #settle(): void {
     if (!this.cache.ready) return;
     const { currentAt, epoch } = this.cache;
-    this.#waiters = this.#waiters.filter((w) => {
-      const shown = w.asked <= currentAt || (w.epoch !== null && epoch >= w.epoch);
-      if (shown) w.resolve(w.asked);
+    this.#waiters = this.#waiters.filter((waiter) => {
+      const probed = waiter.epoch !== null && epoch >= waiter.epoch;
+      const shown = probed || waiter.asked <= currentAt;
+      if (shown) waiter.resolve(waiter.asked);
       return !shown;
     });
   }
@@ -79,7 +81,9 @@
   /** Whoever asked so long ago has been refused by now. */
   #expire(): void {
     const since = this.now() - 2 * USER_CALL_MS;
-    for (const w of this.#waiters) if (w.asked < since) w.reject(new StateTrouble('busy', 'late'));
+    for (const waiter of this.#waiters) {
+      if (waiter.asked < since) waiter.reject(new StateTrouble('busy', 'late'));
+    }
     this.#waiters = this.#waiters.filter((w) => w.asked >= since);
   }
 
@@ -89,10 +93,10 @@
     try {
       const found = await this.client.get(key.never, CALL.read);
       const epoch = 'missing' in found ? found.epoch : found.revision;
-      for (const w of asked) w.epoch = epoch;
+      for (const waiter of asked) waiter.epoch = epoch;
       this.#settle();
     } catch (error) {
-      for (const w of asked) w.reject(error);
+      for (const waiter of asked) waiter.reject(error);
       this.#waiters = this.#waiters.filter((w) => !asked.includes(w));
     } finally {
       this.#probing = false;
--- a/src/state/watch-cache.ts
+++ b/src/state/watch-cache.ts
@@ -112,7 +112,7 @@
       const change = changeOf(write, epoch);
       if (covered && !change.key.startsWith(FINAL)) continue;
       this.#change(change);
-      if (change.removed) this.#removed.set(change.key, epoch);
+      if (change.removed) this.#noteRemoval(change.key, epoch);
     }
     if (covered) return;
     this.#ownEpoch = Math.max(this.#ownEpoch, epoch);
@@ -120,6 +120,11 @@
     this.emit('change');
   }
 
+  /** Answers may be handled in another order than their transactions: the newest removal counts. */
+  #noteRemoval(name: string, epoch: number): void {
+    this.#removed.set(name, Math.max(epoch, this.#removed.get(name) ?? -1));
+  }
+
   #change(change: Change): void {
     if (change.key.startsWith(FINAL)) {
       const uid = change.key.slice(FINAL.length);
--- a/test/user-answers.test.ts
+++ b/test/user-answers.test.ts
@@ -124,7 +124,7 @@
     FIRST[first].hold(scene);
     const earlier = nodes.a.ask('submit', BODY);
     await untilTrue(() => FIRST[first].held(scene) > 0);
-    const pending: Promise<unknown>[] = [earlier];
+    const pending = [earlier];
     const send = async () => {
       const before = nodes[at].calls;
       let over = false;
@@ -136,7 +136,10 @@
     await BETWEEN[between](scene);
     if (moment === 'after') await send();
     for (const gate of [nodes.a.writeRequest, nodes.a.writeAnswer, nodes.a.feedAnswer]) gate.open();
-    await Promise.all(pending);
+    for (const answer of await Promise.all(pending)) {
+      const status = answer?.status ?? 0;
+      assert.ok(status > 0 && status < 500, 'nothing is out of order that would excuse a refusal');
+    }
     for (const name of NAMES) {
       const answer = await nodes[name].ask('query', BODY);
       assert.equal(answer?.status, 200, `${name} knows the job in the end`);
--- a/test/watch-cache.test.ts
+++ b/test/watch-cache.test.ts
@@ -168,6 +168,8 @@
   #feed: WatchBatch | null = null;
   #listed: { prefixes: number; first: number; whole: number; changes: Change[] } | null = null;
   #jobs = 0;
+  /** by key, the newest removal that the cache was told of, by the watch or ahead of it */
+  readonly #removalsTold = new Map<string, number>();
 
   constructor(seed: number) {
     this.#random = randomFrom(seed);
@@ -219,12 +221,20 @@
 
   #answer(): void {
     const [answer] = this.#answers.splice(this.#random(this.#answers.length), 1);
-    if (answer !== undefined) this.#cache.applyOwn(answer.writes, answer.epoch);
+    if (answer === undefined) return;
+    this.#cache.applyOwn(answer.writes, answer.epoch);
+    for (const w of answer.writes) if ('drop' in w) this.#toldRemoval(w.drop, answer.epoch);
+  }
+
+  #toldRemoval(name: string, epoch: number): void {
+    this.#removalsTold.set(name, Math.max(epoch, this.#removalsTold.get(name) ?? -1));
   }
 
   #peer(): void {
     const told = this.#peerNews[this.#random(this.#peerNews.length)];
-    if (told !== undefined) this.#cache.learnCancelled({ ...told, tasks: 1, done: 0 });
+    if (told === undefined) return;
+    this.#cache.learnCancelled({ ...told, tasks: 1, done: 0 });
+    this.#toldRemoval(key.active(told.uid), told.epoch);
   }
 
   /** The watch's answer is made at one step and arrives at another; a listing is made page by page. */
@@ -265,6 +275,8 @@
       assert.ok(known, `step ${step}: ${name} of ${revision} at ${epoch}, ${covered?.revision}`);
       const gone = covered?.removed === true && revision <= covered.revision;
       assert.ok(!gone, `step ${step}: ${name} was removed at ${covered?.revision}`);
+      const told = this.#removalsTold.get(name) ?? -1;
+      assert.ok(revision > told, `step ${step}: ${name} of ${revision}, removed at ${told}`);
     }
     for (const c of this.#store.log) {
       if (c.removed || c.revision > epoch || c.key.startsWith('final/')) continue;
