--- a/test/part-controller.test.ts
+++ b/test/part-controller.test.ts
@@ -313,3 +313,27 @@
     'not brought back as fresh',
   );
 });
+
+test('an own write shown late does not bring a cancelled job back to its part', () => {
+  // The part would have started the tasks of a job whose user was told that it is cancelled
+  // (docs/incidents/2026-12-02-went-back.md).
+  const { partController, cache } = scene();
+  const uid = 'job-000002';
+  const name = `active/${uid}`;
+  const value = encodeActive(job({ uid }, 5, 1));
+  const final = { status: 'cancelled', tasks: 1, done: 0 };
+  cache.apply({
+    fresh: false,
+    epoch: 22,
+    changes: [
+      { key: name, value, revision: 21, removed: false },
+      { key: name, value: undefined, revision: 22, removed: true },
+      { key: `final/${uid}`, value: final, revision: 22, removed: false },
+    ],
+  });
+  cache.applyOwn([{ put: name, value }], 21);
+  partController.tick();
+  const { part } = partController.owned.get(1)!;
+  assert.ok(part.jobs.has('job-000001'), 'the part runs');
+  assert.ok(!part.jobs.has(uid));
+});
