Work per decision hardly grows with the fleet and the queue, shown by counts

test/size.test.ts counts what is looked at, at 1,000 and 4,000 machines. Returning idle machines while a spread service is known compared each of them with every other and with each returned one.

- Machines are searched in order of unused volume, by blocks that are passed over if none of them has enough of some resource; the choice is the same as by plain search (candidates.test.ts, size.test.ts).
- A job's complement is sought once a job, not once a task.
- A report that shows room looks only at waiting jobs that fit there.
- A gang counts slots only until it has enough.
- Booked shares for all ranks come from one look at a part; progress told by peers is found by job.
- What an array with placed tasks could not get is not tried again for others like it.

What still grows: pairs that fit nowhere look into blocks that have enough of each resource on different machines, and a job's complement is sought among all waiting jobs of another dominant resource.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -290,6 +290,10 @@
 // --- rounding -------------------------------------------------------------------------------------
 /** Volumes nearer than this are equal: the sums differ in the last digits only. */
 export const EQUAL_VOLUME = 1e-9;
+/** unused volume by which a machine may lack the demand's and still fit it: rounding, of every resource */
+export const VOLUME_SLACK = 1e-3;
+/** machines in a block of the order by volume: a block is passed over at the cost of one look */
+export const ORDER_BLOCK = 32;
 /** Sums of decimal amounts are off in the last digits; a millionth of a core is nothing. */
 export const ROUNDING = 1e-6;
 /** A task that asks for nothing still costs its worker something. */
--- a/src/core/candidates.ts
+++ b/src/core/candidates.ts
@@ -1,26 +1,8 @@
-import { EQUAL_VOLUME } from '../constants.js';
 import { satisfiesConstraints } from './constraints.js';
 import type { JobState, MachineState } from './part-records.js';
 import type { PartState } from './part-state.js';
 import { fits, timesIn, type Resources } from './model.js';
-import { unusedVolume } from './placement.js';
-
-interface Choice {
-  readonly m: MachineState;
-  /** half of the service's replicas are there already */
-  readonly crowded: boolean;
-  readonly held: boolean;
-  readonly replicas: number;
-  readonly volume: number;
-}
-
-const isBetter = (a: Choice, b: Choice): boolean => {
-  if (a.crowded !== b.crowded) return !a.crowded;
-  if (a.held !== b.held) return a.held;
-  if (a.replicas !== b.replicas) return a.replicas < b.replicas;
-  if (Math.abs(a.volume - b.volume) > EQUAL_VOLUME) return a.volume < b.volume;
-  return a.m.record.name < b.m.record.name;
-};
+import { VolumeOrder } from './volume-order.js';
 
 const replicasOn = (m: MachineState, job: JobState): number => {
   let count = 0;
@@ -34,8 +16,12 @@
  * of the same kind that asks for no less cannot get later in the pass, since room only shrinks.
  */
 export class Candidates {
-  readonly #rooms: MachineState[];
+  readonly #machines: VolumeOrder;
+  /** of these, the ones that hold an image, for the images that were asked for */
+  readonly #holding = new Map<string, VolumeOrder>();
   readonly #held = new Set<string>();
+  /** zones of these machines, by name */
+  readonly zones: readonly string[];
   readonly #failed = new Map<string, { demand: Resources; tasks: number }[]>();
 
   constructor(
@@ -45,53 +31,53 @@
     /** one machine only: what else had room was offered to the queue before */
     only: MachineState | null = null,
   ) {
-    const machines = only === null ? state.machines.values() : [only];
-    this.#rooms = [];
-    for (const m of machines) {
+    const usable: MachineState[] = [];
+    const zones = new Set<string>();
+    for (const m of only === null ? state.machines.values() : [only]) {
       if (!fits(least, m.free) || !state.health.usable(m, now)) continue;
-      this.#rooms.push(m);
+      usable.push(m);
       if (m.hold !== null) this.#held.add(m.hold.uid);
+      zones.add(m.record.zone);
     }
+    this.zones = [...zones].sort();
+    this.#machines = new VolumeOrder(usable, state.largest);
   }
 
   get empty(): boolean {
-    return this.#rooms.length === 0;
-  }
-
-  /** Everything about a job, besides its size, that decides where it may go. */
-  #kind(job: JobState): string {
-    const { types, zone, spot, oneZone, spread } = job.spec;
-    const gang = job.spec.kind === 'gang';
-    return `${types?.join() ?? '*'} ${zone ?? '*'} ${spot} ${oneZone} ${spread} ${gang}`;
+    return this.#machines.size === 0;
   }
 
   /** True if the pass has shown already that there is no room for the job. */
   hopeless(job: JobState, tasks: number): boolean {
-    if (this.#rooms.length === 0) return true;
+    if (this.empty) return true;
     if (this.#held.has(job.spec.uid)) return false;
-    const failed = this.#failed.get(this.#kind(job));
+    const failed = this.#failed.get(job.constraintKey);
     const { demand } = job.spec;
     return failed?.some((f) => f.tasks <= tasks && fits(f.demand, demand)) ?? false;
   }
 
   /** Notes that the job found no room, for reasons that hold for others as well. */
   noRoom(job: JobState, tasks: number): void {
-    if (job.avoid.size > 0 || job.placed.size > 0) return;
-    const kind = this.#kind(job);
-    const list = this.#failed.get(kind) ?? [];
+    // What one of them could not get for reasons of its own, others may.
+    if (job.avoid.size > 0) return;
+    if (job.placed.size > 0 && (job.spec.oneZone || job.spec.spread)) return;
+    const list = this.#failed.get(job.constraintKey) ?? [];
     list.push({ demand: job.spec.demand, tasks });
-    this.#failed.set(kind, list);
+    this.#failed.set(job.constraintKey, list);
   }
 
-  /** How many tasks of the job fit in all, zone by zone if it must be one. */
-  slots(job: JobState): Map<string, number> {
-    const out = new Map<string, number>();
-    for (const m of this.#rooms) {
-      if (!fits(job.spec.demand, m.free) || !satisfiesConstraints(m, job, this.now)) continue;
-      const zone = job.spec.oneZone ? m.record.zone : '';
-      out.set(zone, (out.get(zone) ?? 0) + timesIn(job.spec.demand, m.free));
+  /** Whether so many tasks of the job fit, in the zone if one is given; no more is counted than that. */
+  hasSlots(job: JobState, tasks: number, zone: string | null): boolean {
+    const { demand } = job.spec;
+    let slots = 0;
+    for (const m of this.#machines.emptiestFirst(demand)) {
+      this.state.work.machinesVisited += 1;
+      if (zone !== null && m.record.zone !== zone) continue;
+      if (!fits(demand, m.free) || !satisfiesConstraints(m, job, this.now)) continue;
+      slots += timesIn(demand, m.free);
+      if (slots >= tasks) return true;
     }
-    return out;
+    return false;
   }
 
   /**
@@ -106,38 +92,81 @@
     partner: JobState | null = null,
     zone: string | null = null,
   ): MachineState | null {
-    const { image, kind, tasks } = job.spec;
-    let best: Choice | null = null;
-    for (const m of this.#rooms) {
-      if (zone !== null && m.record.zone !== zone) continue;
-      if (!fits(demand, m.free) || !satisfiesConstraints(m, job, this.now)) continue;
-      if (partner !== null && !satisfiesConstraints(m, partner, this.now)) continue;
-      const held = m.images.has(image);
-      const service = kind === 'service';
-      // Most machines are out of it by this alone, and there are hundreds of them.
-      if (!service && best?.held === true && !held) continue;
-      const replicas = service ? replicasOn(m, job) : 0;
-      const choice: Choice = {
-        m,
-        crowded: service && replicas >= Math.ceil(tasks / 2),
-        held,
-        replicas,
-        volume: unusedVolume(m.free, this.state.largest),
-      };
-      if (best === null || isBetter(choice, best)) best = choice;
+    const takes = (m: MachineState): boolean => {
+      this.state.work.machinesVisited += 1;
+      if (zone !== null && m.record.zone !== zone) return false;
+      if (!fits(demand, m.free) || !satisfiesConstraints(m, job, this.now)) return false;
+      return partner === null || satisfiesConstraints(m, partner, this.now);
+    };
+    if (job.spec.kind === 'service') return this.#fewestReplicas(job, demand, takes);
+    return this.#leastUnused(job.spec.image, demand, takes);
+  }
+
+  #leastUnused(
+    image: string,
+    demand: Resources,
+    takes: (m: MachineState) => boolean,
+  ): MachineState | null {
+    const holding = this.#machinesHolding(image).leastUnused(demand, takes);
+    return holding ?? this.#machines.leastUnused(demand, takes);
+  }
+
+  #machinesHolding(image: string): VolumeOrder {
+    let holding = this.#holding.get(image);
+    if (holding === undefined) {
+      const machines = [...this.#machines.machines()].filter((m) => m.images.has(image));
+      holding = new VolumeOrder(machines, this.state.largest);
+      this.#holding.set(image, holding);
+    }
+    return holding;
+  }
+
+  /** Machines with less than half of the replicas first, then those that hold the image, then by count. */
+  #fewestReplicas(
+    job: JobState,
+    demand: Resources,
+    takes: (m: MachineState) => boolean,
+  ): MachineState | null {
+    const { image, tasks } = job.spec;
+    const half = Math.ceil(tasks / 2);
+    let ranked: { group: readonly number[]; machines: MachineState[] } | null = null;
+    for (const m of this.#machines.machines()) {
+      if (!takes(m)) continue;
+      const replicas = replicasOn(m, job);
+      const group = [Number(replicas >= half), Number(!m.images.has(image)), replicas];
+      const order = ranked === null ? -1 : compareInOrder(group, ranked.group);
+      if (ranked === null || order < 0) ranked = { group, machines: [m] };
+      else if (order === 0) ranked.machines.push(m);
     }
-    return best?.m ?? null;
+    if (ranked === null) return null;
+    return new VolumeOrder(ranked.machines, this.state.largest).leastUnused(demand, () => true);
   }
 
   /** After something was placed on the machine. */
   taken(m: MachineState): void {
-    if (fits(this.least, m.free)) return;
-    const at = this.#rooms.indexOf(m);
-    if (at >= 0) this.#rooms.splice(at, 1);
+    this.#update(m, fits(this.least, m.free));
   }
 
   /** After something was taken back from the machine. */
   givenBack(m: MachineState): void {
-    if (!this.#rooms.includes(m)) this.#rooms.push(m);
+    this.#update(m, true);
+  }
+
+  #update(m: MachineState, stays: boolean): void {
+    const orders = [this.#machines];
+    for (const [image, order] of this.#holding) if (m.images.has(image)) orders.push(order);
+    for (const order of orders) {
+      if (stays) order.put(m);
+      else order.remove(m);
+    }
   }
 }
+
+/** Compares the first members that differ. */
+const compareInOrder = (a: readonly number[], b: readonly number[]): number => {
+  for (const [i, value] of a.entries()) {
+    const difference = value - (b[i] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+};
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -193,32 +193,40 @@
  */
 const zonesWithout = (
   type: MachineType,
-  staying: readonly MachineState[],
-  input: CapacityInput,
-): string[] => {
-  if (!spreadServiceKnown(input)) return [];
-  return type.zones.filter((zone) => {
-    const there = staying.some(
-      (m) => m.record.type === type.name && m.record.zone === zone && !m.record.spot,
-    );
-    const asked = input.pending.some((p) => p.type === type.name && p.zone === zone && !p.spot);
-    return !there && !asked;
+  ordinary: OrdinaryMachines,
+  pending: readonly RentWish[],
+): string[] =>
+  type.zones.filter((zone) => {
+    const asked = pending.some((p) => p.type === type.name && p.zone === zone && !p.spot);
+    return ordinary.count(type.name, zone) === 0 && !asked;
   });
-};
 
-/** The only ordinary machine of its type in its zone, which the next spread service would miss. */
-const isLastForSpread = (
-  m: MachineState,
-  left: readonly MachineState[],
-  input: CapacityInput,
-): boolean => {
-  if (m.record.spot || !spreadServiceKnown(input)) return false;
-  const { type, zone } = m.record;
-  const alike = left.filter(
-    (o) => o.record.type === type && o.record.zone === zone && !o.record.spot,
-  );
-  return alike.length <= 1;
-};
+/** Ordinary machines that stay, counted by type and zone. */
+class OrdinaryMachines {
+  readonly #counts = new Map<string, number>();
+
+  constructor(staying: readonly MachineState[]) {
+    for (const m of staying) if (!m.record.spot) this.#change(m, 1);
+  }
+
+  #change({ record }: MachineState, by: number): void {
+    const kind = `${record.type} ${record.zone}`;
+    this.#counts.set(kind, (this.#counts.get(kind) ?? 0) + by);
+  }
+
+  count(type: string, zone: string): number {
+    return this.#counts.get(`${type} ${zone}`) ?? 0;
+  }
+
+  /** The only one of its type in its zone, which the next spread service would miss. */
+  isLast(m: MachineState): boolean {
+    return !m.record.spot && this.count(m.record.type, m.record.zone) <= 1;
+  }
+
+  goes(m: MachineState): void {
+    if (!m.record.spot) this.#change(m, -1);
+  }
+}
 
 export const planCapacity = (input: CapacityInput): CapacityPlan => {
   const { part, now } = input;
@@ -243,6 +251,8 @@
     } else if (m.noticeAt === null) staying.push(m);
   }
 
+  const spreads = spreadServiceKnown(input);
+  const ordinaryMachines = new OrdinaryMachines(staying);
   const rent: RentWish[] = [];
   const pendingCount = input.pending.reduce((sum, p) => sum + p.count, 0);
   let room = Math.ceil(input.machinesMost / input.parts) - staying.length - pendingCount;
@@ -251,7 +261,7 @@
     input.pending.some((p) => p.type === name && p.zone === zone && p.spot === spot);
   const wish = (type: MachineType, spot: boolean, count: number, only: string | null): number => {
     // Ordinary machines are balanced by themselves where a service that spreads may use no others.
-    const byKind = !spot && spreadServiceKnown(input);
+    const byKind = !spot && spreads;
     const inZone = (z: string) =>
       staying.filter((m) => m.record.zone === z && !(byKind && m.record.spot)).length;
     const open = input.zones
@@ -293,7 +303,8 @@
     const more = machinesFor(need.instead - spare) - spot - got;
     if (more > 0) wish(type, false, more, null);
 
-    for (const zone of zonesWithout(type, staying, input)) wish(type, false, 1, zone);
+    const without = spreads ? zonesWithout(type, ordinaryMachines, input.pending) : [];
+    for (const zone of without) wish(type, false, 1, zone);
 
     // Idle machines beyond what is wanted go back, the longest idle first.
     const kept = { spot: Math.ceil(need.spot), any: Math.ceil(need.instead) };
@@ -305,11 +316,11 @@
       .filter((m) => now - m.idleSince > input.idleKeepMs)
       .sort((a, b) => a.idleSince - b.idleSince);
     for (const m of idle) {
-      const left = staying.filter((o) => !giveBack.some((g) => g.name === o.record.name));
-      if (isLastForSpread(m, left, input)) continue;
+      if (spreads && ordinaryMachines.isLast(m)) continue;
       if ((m.record.spot ? surplusSpot : surplusOrdinary) <= 0) continue;
       if (m.record.spot) surplusSpot -= 1;
       else surplusOrdinary -= 1;
+      ordinaryMachines.goes(m);
       giveBack.push({ name: m.record.name, reason: 'idle' });
     }
   }
--- a/src/core/constraints.ts
+++ b/src/core/constraints.ts
@@ -1,7 +1,15 @@
+import type { JobSpec } from './model.js';
 import type { JobState, MachineState } from './part-records.js';
 import type { PartState } from './part-state.js';
 import { tasksAllowedIn } from './zones.js';
 
+/** Everything about a job, besides its size, that decides where it may go: jobs that share it are alike. */
+export const constraintKey = (spec: JobSpec): string => {
+  const { types, zone, spot, oneZone, spread } = spec;
+  const gang = spec.kind === 'gang';
+  return `${types?.join() ?? '*'} ${zone ?? '*'} ${spot} ${oneZone} ${spread} ${gang}`;
+};
+
 /** Whether a usable machine may take a task of the job, by its kind and the job's other tasks. */
 export const satisfiesConstraints = (m: MachineState, job: JobState, now: number): boolean => {
   const { spec } = job;
--- a/src/core/part-records.ts
+++ b/src/core/part-records.ts
@@ -36,6 +36,8 @@
   /** demand as a share of C', and its dominant resource */
   readonly share: Resources;
   readonly dominant: ResourceKind;
+  /** what decides where it may go, besides its size */
+  readonly constraintKey: string;
   readonly acceptedAt: number;
   /** accepted, by the steady clock, ms */
   readonly seenAt: number;
@@ -131,6 +133,14 @@
   readonly startWithin: (jobClass: string) => readonly number[];
 }
 
+/** How much was looked at for decisions since the part was built: it must not grow with the fleet. */
+export interface WorkCounters {
+  /** machines that were tried for a task or a pair */
+  machinesVisited: number;
+  /** waiting jobs that were compared with another one */
+  jobsCompared: number;
+}
+
 /** What has changed in the state service since the last look. */
 export interface Changes {
   readonly jobs: ReadonlySet<string>;
--- a/src/core/part-state.ts
+++ b/src/core/part-state.ts
@@ -6,19 +6,18 @@
   ROUNDING,
   WORKER_LEASE_MARGIN_MS,
 } from '../constants.js';
+import { constraintKey } from './constraints.js';
 import { tasksInNeed } from './failures.js';
 import { decodeDone } from './jobs.js';
 import { dominant } from './pairing.js';
 import {
   add,
   largestCapacity,
-  RESOURCE_KINDS,
   PRIORITY_RANK,
   shareOf,
   ZERO,
   type JobRecord,
   type MachineRecord,
-  type ResourceKind,
   type Resources,
   type TaskRange,
 } from './model.js';
@@ -34,6 +33,7 @@
   type PartView,
   type TaskEvent,
   type FinishedRun,
+  type WorkCounters,
 } from './part-records.js';
 
 /**
@@ -52,6 +52,7 @@
   /** jobs whose change could not be taken in yet */
   readonly unsynced = new Set<string>();
   readonly health: MachineHealth;
+  readonly work: WorkCounters = { machinesVisited: 0, jobsCompared: 0 };
   largest: Resources;
   attempts = 0;
 
@@ -157,6 +158,7 @@
         rank: PRIORITY_RANK[spec.priority],
         share: shareOf(spec.demand, this.largest),
         dominant: dominant(shareOf(spec.demand, this.largest)),
+        constraintKey: constraintKey(spec),
         acceptedAt: record.at,
         // A new owner counts a job's age on, rather than anew.
         seenAt: now - Math.max(0, nowOfDay - record.at),
@@ -364,33 +366,6 @@
     }
   }
 
-  /**
-   * Booked share of the part for a job of the rank: the largest over the resources, waiting tasks
-   * included. Only machines that the job may use count, and only work that it cannot displace.
-   */
-  load(rank: number, spot: boolean, now: number): number {
-    const least = this.settings.preempt ? rank : 0;
-    let capacity = ZERO;
-    let booked = ZERO;
-    for (const m of this.machines.values()) {
-      const dying = m.leaving || m.returning || m.condemned || m.noticeAt !== null;
-      if (m.type === null || dying || (m.everKnown && !this.health.isFresh(m, now))) continue;
-      if (m.record.spot && !spot) continue;
-      capacity = add(capacity, m.type);
-      for (const p of m.tasks.values()) {
-        if (p.job.rank >= least) booked = add(booked, p.job.spec.demand);
-      }
-    }
-    for (const job of this.jobs.values()) {
-      if (job.rank >= least) booked = add(booked, job.spec.demand, tasksInNeed(job, now));
-    }
-    if (booked.cpus + booked.gpus + booked.memoryGb === 0) return 0;
-    // A part without machines counts as one machine: what is booked there still tells parts apart.
-    const share = (k: ResourceKind) =>
-      booked[k] === 0 ? 0 : booked[k] / Math.max(capacity[k], this.largest[k]);
-    return Math.max(...RESOURCE_KINDS.map(share));
-  }
-
   /** Tasks of this rank or a higher one that wait for room. */
   waiting(rank: number, now: number): number {
     let count = 0;
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -10,6 +10,7 @@
   type TaskEvent,
 } from './part-records.js';
 import { PartState } from './part-state.js';
+import { bookedShares } from './booked-shares.js';
 import { Limits } from './limits.js';
 import { CommandPlanner } from './commands.js';
 import { Placing } from './placing.js';
@@ -149,8 +150,9 @@
   isFresh(m: MachineState, now: number): boolean {
     return this.state.health.isFresh(m, now);
   }
-  load(rank: number, spot: boolean, now: number): number {
-    return this.state.load(rank, spot, now);
+  /** Booked share of the part for each rank, as `loadIndex` numbers them. */
+  loads(now: number): number[] {
+    return bookedShares(this.state, now);
   }
   waiting(rank: number, now: number): number {
     return this.state.waiting(rank, now);
--- /dev/null
+++ b/src/core/partners.ts
@@ -0,0 +1,44 @@
+import { placeableTasks } from './failures.js';
+import type { JobState, WorkCounters } from './part-records.js';
+import { complement, type TaskGroup } from './pairing.js';
+
+/**
+ * The waiting jobs of one pass, among which complements are sought. A job's complement stays the same until
+ * it has no more tasks, since the jobs behind it in the queue only lose tasks during a pass: so it is
+ * sought once a job, not once a task.
+ */
+export class Partners {
+  #chosen: { readonly of: JobState; readonly partner: JobState | null } | null = null;
+  readonly #severalKinds: boolean;
+
+  constructor(
+    private readonly queue: readonly JobState[],
+    private readonly now: number,
+    private readonly work: WorkCounters,
+  ) {
+    const kinds = new Set<string>();
+    for (const job of queue) if (job.spec.kind !== 'gang') kinds.add(job.dominant);
+    this.#severalKinds = kinds.size > 1;
+  }
+
+  /** The waiting job whose tasks complement the job's best, of those behind it in the queue. */
+  of(job: JobState, position: number): JobState | null {
+    if (!this.#severalKinds) return null;
+    if (this.#chosen?.of === job) {
+      const { partner } = this.#chosen;
+      if (partner === null || placeableTasks(partner, this.now) > 0) return partner;
+    }
+    const partner = complement(job.share, this.#behind(job, position))?.item ?? null;
+    this.#chosen = { of: job, partner };
+    return partner;
+  }
+
+  *#behind(job: JobState, position: number): Iterable<TaskGroup<JobState>> {
+    for (let at = position + 1; at < this.queue.length; at++) {
+      const item = this.queue[at]!;
+      if (item.spec.kind === 'gang' || item.dominant === job.dominant) continue;
+      this.work.jobsCompared += 1;
+      yield { item, share: item.share, count: placeableTasks(item, this.now) };
+    }
+  }
+}
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -3,17 +3,14 @@
 import { taskKey, type JobState, type MachineState, type Placement } from './part-records.js';
 import { type PartState } from './part-state.js';
 import type { Limits } from './limits.js';
-import { add, fits, RESOURCE_KINDS, type ResourceKind, type Resources } from './model.js';
-import { complement, type TaskGroup } from './pairing.js';
+import { add, fits, RESOURCE_KINDS, type Resources } from './model.js';
+import { Partners } from './partners.js';
 import type { Preemption } from './preemption.js';
 import { Candidates } from './candidates.js';
 
-/** Waiting jobs by dominant resource, in the queue's order: partners are sought among the others. */
-type Partners = ReadonlyMap<ResourceKind, readonly { job: JobState; position: number }[]>;
-
 /** The queue of a part, and where its tasks go. */
 export class Placing {
-  /** the last full pass: who found no room, and what the least demand was */
+  /** the last full pass: who found no room, and what all of them ask for at least */
   #last: { stuck: JobState[]; least: Resources } | null = null;
 
   constructor(
@@ -86,7 +83,7 @@
     if (queue.length === 0) return [];
     const least = leastOf(queue);
     const stuck = this.#place(queue, new Candidates(this.state, least, now));
-    this.#last = { stuck, least };
+    this.#last = stuck.length === 0 ? null : { stuck, least: leastOf(stuck) };
     const noRoom = new Set(stuck);
     for (const job of queue) job.stuckSince = noRoom.has(job) ? (job.stuckSince ?? now) : null;
     this.preemption.makeRoom(stuck, now);
@@ -99,7 +96,10 @@
    */
   placeOn(m: MachineState, now: number): void {
     if (this.#last === null || !fits(this.#last.least, m.free)) return;
-    const open = this.#last.stuck.filter((job) => this.#open(job, now));
+    // Thousands may wait, and reports are many: what cannot fit is not looked at any further.
+    const open = this.#last.stuck.filter(
+      (job) => fits(job.spec.demand, m.free) && this.#open(job, now),
+    );
     const queue = this.#imagesFirst(open, m, now);
     if (queue.length > 0) this.#place(queue, new Candidates(this.state, this.#last.least, now, m));
   }
@@ -132,7 +132,7 @@
 
   #place(queue: readonly JobState[], rooms: Candidates): JobState[] {
     const stuck: JobState[] = [];
-    const partners = this.#partners(queue);
+    const partners = new Partners(queue, rooms.now, this.state.work);
     queue.forEach((job, position) => {
       if (job.spec.kind === 'gang') {
         if (!this.#placeGang(job, rooms)) stuck.push(job);
@@ -147,38 +147,12 @@
     return stuck;
   }
 
-  #partners(queue: readonly JobState[]): Partners {
-    const out = new Map<ResourceKind, { job: JobState; position: number }[]>();
-    queue.forEach((job, position) => {
-      if (job.spec.kind === 'gang') return;
-      const list = out.get(job.dominant) ?? [];
-      list.push({ job, position });
-      out.set(job.dominant, list);
-    });
-    return out;
-  }
-
-  /** The waiting task that complements the job's best, of the jobs behind it in the queue. */
-  #partner(job: JobState, position: number, partners: Partners, now: number): JobState | null {
-    const groups: TaskGroup<{ job: JobState; position: number }>[] = [];
-    for (const [kind, list] of partners) {
-      if (kind === job.dominant) continue;
-      for (const item of list) {
-        const count = placeableTasks(item.job, now);
-        if (item.position > position) groups.push({ item, share: item.job.share, count });
-      }
-    }
-    if (groups.length === 0) return null;
-    groups.sort((a, b) => a.item.position - b.item.position);
-    return complement(job.share, groups)?.item.job ?? null;
-  }
-
   /** Places the next task of the job with its complement, or alone when the pair fits nowhere. */
   #placeEntity(job: JobState, position: number, partners: Partners, rooms: Candidates): boolean {
     if (rooms.hopeless(job, 1)) return false;
     const room = this.limits.underLimit(job);
     if (room < 1) return false;
-    const partner = this.#partner(job, position, partners, rooms.now);
+    const partner = partners.of(job, position);
     if (partner !== null && this.limits.underLimit(partner) >= 1) {
       const sameTeam = partner.spec.team === job.spec.team;
       const pairLimit = !sameTeam || room >= 2 || room === Infinity;
@@ -215,14 +189,14 @@
     const tasks = job.waiting.length;
     if (job.placed.size > 0 || rooms.hopeless(job, tasks)) return false;
     if (this.limits.underLimit(job) < tasks) return false;
-    const zones = [...rooms.slots(job)].filter(([, slots]) => slots >= tasks);
-    zones.sort(([a], [b]) => (a < b ? -1 : 1));
-    for (const [zone] of zones) {
+    const zones = job.spec.oneZone ? rooms.zones : [null];
+    for (const zone of zones) {
+      if (!rooms.hasSlots(job, tasks, zone)) continue;
       const attempt = this.state.nextAttempt();
       const placed: Placement[] = [];
       const holds = new Map<MachineState, MachineState['hold']>();
       while (job.waiting.length > 0) {
-        const m = rooms.best(job, job.spec.demand, null, job.spec.oneZone ? zone : null);
+        const m = rooms.best(job, job.spec.demand, null, zone);
         if (m === null) break;
         if (!holds.has(m)) holds.set(m, m.hold);
         placed.push(this.#start(job, m, rooms, attempt));
--- a/src/peers/part-directory.ts
+++ b/src/peers/part-directory.ts
@@ -1,4 +1,5 @@
-import { UNKNOWN_LOAD } from '../constants.js';
+import { SOON_MS, UNKNOWN_LOAD } from '../constants.js';
+import { loadIndex } from '../core/booked-shares.js';
 import type { PartLoad } from '../core/jobs.js';
 import { fits, PRIORITY_RANK, timesIn, type JobSpec, type Resources } from '../core/model.js';
 import type { MachineState, Part } from '../core/part.js';
@@ -59,6 +60,10 @@
 export class PartDirectory {
   /** the loads of our own parts as last told to the others */
   readonly #toldLoads = new Map<number, number[]>();
+  /** the room of our own parts as of some moments ago */
+  readonly #roomsLately = new Map<number, { of: Part; at: number; rooms: readonly RoomStatus[] }>();
+  /** what each node told of its jobs, by job: users ask many times a second */
+  readonly #progressTold = new WeakMap<PeerStatus['jobs'], Map<string, PeerStatus['jobs']>>();
 
   constructor(
     private readonly parts: number,
@@ -72,15 +77,26 @@
   }
 
   #told(part: number): PeerStatus['parts'][number] | undefined {
-    return this.peers
-      .heard()
-      .flatMap((s) => s.parts)
-      .find((p) => p.part === part);
+    for (const { parts } of this.peers.heard()) {
+      const told = parts.find((p) => p.part === part);
+      if (told !== undefined) return told;
+    }
+    return undefined;
   }
 
   #rooms(part: number): readonly RoomStatus[] {
     const own = this.#own(part);
-    return own === undefined ? (this.#told(part)?.rooms ?? []) : roomsOf(own, this.now());
+    return own === undefined ? (this.#told(part)?.rooms ?? []) : this.#ownRooms(part, own);
+  }
+
+  /** Looking through the machines takes time, and a burst of submissions asks again and again. */
+  #ownRooms(index: number, part: Part): readonly RoomStatus[] {
+    const now = this.now();
+    const known = this.#roomsLately.get(index);
+    if (known !== undefined && known.of === part && now - known.at < SOON_MS) return known.rooms;
+    const rooms = roomsOf(part, now);
+    this.#roomsLately.set(index, { of: part, at: now, rooms });
+    return rooms;
   }
 
   /** What the others are told of one of this node's parts; `detailed` adds its machines' images. */
@@ -93,10 +109,7 @@
         images: [...m.images.keys()],
         gb: [...m.images.values()],
       }));
-    const loads = RANKS.flatMap((rank) => [
-      part.load(rank, false, now),
-      part.load(rank, true, now),
-    ]);
+    const loads = part.loads(now);
     this.#toldLoads.set(index, loads);
     const waiting = RANKS.map((rank) => part.waiting(rank, now));
     return {
@@ -117,7 +130,7 @@
       const own = this.#own(part);
       // Our own figures are as old as those of the others, at most a second: submissions are many.
       const loads = own === undefined ? this.#told(part)?.loads : this.#toldLoads.get(part);
-      const load = loads?.[rank * 2 + Number(spec.spot)] ?? UNKNOWN_LOAD;
+      const load = loads?.[loadIndex(rank, spec.spot)] ?? UNKNOWN_LOAD;
       const fitting = this.#rooms(part).filter((r) => r.rank === 0 && roomFits(spec, r));
       const hasImage = fitting.some((r) => r.images.includes(spec.image));
       out.push({ part, load, fitsNow: fitting.length > 0, hasImage });
@@ -168,14 +181,31 @@
       done += counts.done;
       running += counts.running;
     }
-    for (const job of this.peers.heard().flatMap((s) => s.jobs)) {
-      if (job.uid !== uid || this.owned().has(job.part)) continue;
-      done += job.done;
-      running += job.running;
+    for (const { jobs } of this.peers.heard()) {
+      for (const told of this.#byUid(jobs).get(uid) ?? []) {
+        if (this.owned().has(told.part)) continue;
+        done += told.done;
+        running += told.running;
+      }
     }
     return { done, running };
   }
 
+  /** The list is the same until the node tells another one. */
+  #byUid(jobs: PeerStatus['jobs']): Map<string, PeerStatus['jobs']> {
+    let byUid = this.#progressTold.get(jobs);
+    if (byUid === undefined) {
+      byUid = new Map();
+      for (const job of jobs) {
+        const same = byUid.get(job.uid);
+        if (same === undefined) byUid.set(job.uid, [job]);
+        else same.push(job);
+      }
+      this.#progressTold.set(jobs, byUid);
+    }
+    return byUid;
+  }
+
   /** Images that another owner knew on a machine, with their sizes. */
   imagesOf(machine: string): ReadonlyMap<string, number> {
     for (const { images } of this.peers.latest().flatMap((s) => s.parts)) {
--- a/test/candidates.test.ts
+++ b/test/candidates.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { loadIndex } from '../src/core/booked-shares.js';
 import { isFeasible } from '../src/core/constraints.js';
 import { fits, PRIORITY_RANK } from '../src/core/model.js';
 import { mostMatched } from '../src/core/placement.js';
@@ -99,7 +100,7 @@
     ['nothing gives way: everything counts', false, high, true, 5 / 4],
   ];
   for (const [name, preempt, rank, spot, want] of cases) {
-    assert.equal(scene(preempt).load(rank, spot, 3), want, name);
+    assert.equal(scene(preempt).loads(3)[loadIndex(rank, spot)], want, name);
   }
   const part = scene(true);
   assert.deepEqual(
--- /dev/null
+++ b/test/size.test.ts
@@ -0,0 +1,190 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
+import type { Part } from '../src/core/part.js';
+import type { JobSpec } from '../src/core/model.js';
+import { unusedVolume } from '../src/core/placement.js';
+import { VolumeOrder } from '../src/core/volume-order.js';
+import { randomFrom } from '../src/random.js';
+import { job, machine, machineType, partWith, Store } from './helpers.js';
+
+/**
+ * What a decision looks at must not grow with the fleet. The counts depend on the state alone, so the
+ * verdict is the same on every machine.
+ */
+
+const FLEETS = { small: 1000, large: 4000 };
+
+const nameOf = (i: number): string => `m${String(i).padStart(5, '0')}`;
+
+/** A part with so many machines, each of which has answered under its term. */
+const partOf = (store: Store, machines: number): Part => {
+  for (let i = 0; i < machines; i++) {
+    store.add(machine(nameOf(i), { spot: i % 3 === 0, zone: i % 2 === 0 ? 'y' : 'z' }));
+  }
+  const part = partWith(store);
+  for (let i = 0; i < machines; i++) {
+    const report = { machine: nameOf(i), address: 'none:1', type: 'm', session: 1, noticeS: null };
+    const { zone, spot } = store.machines.get(nameOf(i))!.value;
+    part.inspected({ ...report, zone, spot, counter: 1, token: 1, tasks: [] }, 0);
+    for (let image = 0; image < 3; image++) {
+      part.machines.get(nameOf(i))!.images.set(`image-${(i + image) % 12}`, 1);
+    }
+  }
+  return part;
+};
+
+const submit = (store: Store, uid: string, over: Partial<JobSpec>): void => {
+  store.add(job({ uid, ...over }));
+};
+
+const placedTasks = (part: Part): number =>
+  [...part.jobs.values()].reduce((sum, j) => sum + j.placed.size, 0);
+
+/** Arrays, gangs and single tasks of several kinds, more than fit. */
+const crowdedWork = (store: Store, machines: number): void => {
+  const random = randomFrom(7);
+  for (let i = 0; i < machines / 4; i++) {
+    const image = `image-${random(12)}`;
+    const gpuHeavy = { cpus: 1 + random(2), gpus: 1, memoryGb: 4 + random(8) };
+    const cpuHeavy = { cpus: 2 + random(3), gpus: 0, memoryGb: 4 + random(16) };
+    submit(store, `job-a${i}`, { tasks: 8, image, demand: gpuHeavy });
+    submit(store, `job-b${i}`, { tasks: 8, image, demand: cpuHeavy, spot: random(2) === 0 });
+    submit(store, `job-g${i}`, {
+      kind: 'gang',
+      tasks: 1 + random(2),
+      demand: { cpus: 6, gpus: 2, memoryGb: 40 },
+      priority: 'high',
+    });
+  }
+};
+
+test('machines and jobs looked at for a placed task do not grow with the fleet', () => {
+  const measure = (machines: number) => {
+    const store = new Store();
+    crowdedWork(store, machines);
+    const part = partOf(store, machines);
+    part.placeAll(1);
+    const placed = placedTasks(part);
+    const first = { ...part.state.work };
+    part.placeAll(2);
+    const again = part.state.work.machinesVisited - first.machinesVisited;
+    assert.ok(placed > 2 * machines, `${placed} tasks placed on ${machines} machines`);
+    return {
+      visited: first.machinesVisited / placed,
+      compared: first.jobsCompared / part.jobs.size / part.jobs.size,
+      again: again / machines,
+    };
+  };
+  const small = measure(FLEETS.small);
+  const large = measure(FLEETS.large);
+  // A pair that fits nowhere still looks into blocks of machines that have enough of each resource apart.
+  assert.ok(large.visited <= 3 * small.visited, `${large.visited} after ${small.visited}`);
+  assert.ok(large.visited < 40, `${large.visited} machines for a task`);
+  assert.ok(large.compared <= 1, `${large.compared} jobs compared for a pair of jobs`);
+  assert.ok(
+    large.again <= 8,
+    `a pass that places nothing looks at each machine ${large.again} times`,
+  );
+});
+
+test('a report finds out quickly that none of thousands of waiting tasks fits', () => {
+  const store = new Store();
+  for (let i = 0; i < 3000; i++) {
+    submit(store, `job-${i}`, { demand: { cpus: 3, gpus: 0, memoryGb: 1 }, types: ['m'] });
+  }
+  const part = partOf(store, 100);
+  part.placeAll(1);
+  assert.equal(placedTasks(part), 200);
+  const before = part.state.work.machinesVisited;
+  for (let i = 0; i < 100; i++) {
+    const { zone, spot } = store.machines.get(nameOf(i))!.value;
+    const m = part.machines.get(nameOf(i))!;
+    const tasks = [...m.tasks.values()].map(({ job: { spec }, index, attempt }) => ({
+      ...{ uid: spec.uid, index, attempt, why: null, saved: false },
+      state: 'running' as const,
+    }));
+    const report = { machine: nameOf(i), address: 'none:1', type: 'm', session: 1, noticeS: null };
+    const result = part.beat({ ...report, zone, spot, counter: 2, token: 1, tasks }, 500, true);
+    assert.equal(result.kind, 'answer');
+  }
+  assert.equal(part.state.work.machinesVisited - before, 0);
+});
+
+test('returning thousands of idle machines takes one look at each', () => {
+  const machines = FLEETS.large;
+  const store = new Store();
+  submit(store, 'job-s', { kind: 'service', tasks: 2, spread: true, spot: false });
+  const part = partOf(store, machines);
+  part.placeAll(1);
+  let looked = 0;
+  const counted = [...part.machines.values()];
+  for (const m of counted) {
+    const { record } = m;
+    Object.defineProperty(m, 'record', {
+      get: () => {
+        looked += 1;
+        return record;
+      },
+    });
+  }
+  const input: CapacityInput = {
+    part,
+    parts: 1,
+    types: new Map([['m', machineType()]]),
+    zones: ['y', 'z'],
+    objectives: [],
+    stats: new Map(),
+    elsewhere: new Map(),
+    expected: [],
+    pending: [],
+    refused: () => false,
+    reserveSigma: 0,
+    drainS: 45,
+    idleKeepMs: 1000,
+    machinesMost: machines,
+    now: 5000,
+  };
+  const { giveBack } = planCapacity(input);
+  assert.ok(giveBack.length > machines - 10, `${giveBack.length} given back`);
+  assert.ok(looked < 100 * machines, `${looked / machines} looks at each machine`);
+});
+
+test('an ordered search finds what a search through all machines finds, while they change', () => {
+  for (let seed = 1; seed <= 40; seed++) {
+    const random = randomFrom(seed);
+    const store = new Store();
+    const part = partOf(store, 60);
+    const { largest } = part.state;
+    const machines = [...part.machines.values()];
+    const change = (m: (typeof machines)[number]) => {
+      m.free = { cpus: random(9), gpus: random(3), memoryGb: 8 * random(9) };
+    };
+    machines.forEach(change);
+    const order = new VolumeOrder(machines, largest);
+    const present = new Set(machines);
+    for (let step = 0; step < 100; step++) {
+      const m = machines[random(machines.length)]!;
+      change(m);
+      if (random(4) === 0) {
+        order.remove(m);
+        present.delete(m);
+      } else {
+        order.put(m);
+        present.add(m);
+      }
+      const demand = { cpus: random(9), gpus: random(3), memoryGb: 8 * random(9) };
+      const takes = ({ free, record }: (typeof machines)[number]) =>
+        demand.cpus <= free.cpus &&
+        demand.gpus <= free.gpus &&
+        demand.memoryGb <= free.memoryGb &&
+        record.zone === 'y';
+      const [plain] = [...present].filter(takes).sort((a, b) => {
+        const gap = unusedVolume(a.free, largest) - unusedVolume(b.free, largest);
+        return Math.abs(gap) > 1e-9 ? gap : a.record.name < b.record.name ? -1 : 1;
+      });
+      assert.equal(order.leastUnused(demand, takes), plain ?? null, `seed ${seed}, step ${step}`);
+      assert.equal(order.size, present.size);
+    }
+  }
+});
