Tasks that wait long pass to a part that is booked far less, also while none has room

Tasks passed only to a part with room and no waiting tasks, and there was none. An array has ranges in most parts, so one starved part makes most arrays late.

Ruled out: routing, which sent the part nothing more once its load was known; the owner's own renting, which got 'no capacity' all the time.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -229,6 +229,14 @@
 export const TRANSFER_EVERY_MS = 500;
 /** jobs looked at in one try, the longest waiting first. */
 export const TRANSFER_TRIES = 10;
+/** ms; tasks that wait longer than this although no part has room may pass to one that is less booked. */
+export const BALANCE_AFTER_MS = 10_000;
+/** ms; between two such passes of a part: each costs a write, and what others told is a second old. */
+export const BALANCE_EVERY_MS = 1000;
+/** times; the booked share of a part must be so much larger than the other's: no passing to and fro. */
+export const BALANCE_RATIO = 1.5;
+/** booked share that it must be larger by as well: little differences are not worth a write. */
+export const BALANCE_MARGIN = 0.5;
 /** ms; a range that passed stays at least this long before it passes again. */
 export const TRANSFER_AGAIN_MS = 5000;
 
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -44,6 +44,8 @@
   fit(node: string): string | null;
   /** how many tasks of the job would fit now into another part, and its term */
   roomElsewhere(spec: JobSpec, not: number): { part: number; tasks: number } | null;
+  /** a part that is booked much less than another one for the job */
+  lessBooked(spec: JobSpec, than: number): number | null;
   /** images that another owner knew on a machine */
   imagesOf(machine: string): ReadonlyMap<string, number>;
   /** the node that hears most workers of the part */
@@ -101,7 +103,7 @@
       client,
       cache,
       (index, owned) => this.owned.get(index) === owned,
-      (spec, not) => this.peers.roomElsewhere(spec, not),
+      peers,
       now,
       log,
     );
--- a/src/parts/task-transfer.ts
+++ b/src/parts/task-transfer.ts
@@ -2,6 +2,8 @@
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
 import {
+  BALANCE_AFTER_MS,
+  BALANCE_EVERY_MS,
   TRANSFER_AFTER_MS,
   TRANSFER_EVERY_MS,
   TRANSFER_TRIES,
@@ -18,26 +20,42 @@
 import type { WatchCache } from '../state/watch-cache.js';
 import type { Write } from '../wire/schemas.js';
 
+/** What is known of the other parts' room. */
+export interface OtherParts {
+  /** how many tasks of the job would fit now into another part */
+  roomElsewhere(spec: JobSpec, not: number): Destination | null;
+  /** a part that is booked much less than another one for the job */
+  lessBooked(spec: JobSpec, than: number): number | null;
+}
+
+/** Where tasks may pass to, and how many of them. */
+interface Destination {
+  readonly part: number;
+  readonly tasks: number;
+}
+
 /** Hands tasks that fit nowhere in their part to one where they fit. */
 export class TaskTransfer {
-  /** by part */
+  /** when each part last tried to pass tasks, steady ms */
   readonly #lastTry = new Map<number, number>();
+  /** when each part last passed tasks to one that had no room either, steady ms */
+  readonly #lastBalanced = new Map<number, number>();
 
   constructor(
     private readonly config: PlatformConfig,
     private readonly client: Pick<StateClient, 'transact' | 'get'>,
     private readonly cache: WatchCache,
     private readonly stillOwned: (index: number, owned: Owned) => boolean,
-    /** how many tasks of the job would fit now into another part */
-    private readonly roomElsewhere: (
-      spec: JobSpec,
-      not: number,
-    ) => { part: number; tasks: number } | null,
+    private readonly otherParts: OtherParts,
     private readonly now: () => number,
     private readonly log: Logger,
   ) {}
 
-  /** A task that fits nowhere in its part passes, by transaction, to a part where it fits. */
+  /**
+   * A task that fits nowhere in its part passes, by transaction, to a part where it fits. Exception: while
+   * no part has room, what has waited for long passes to one that is booked far less. A part whose owner
+   * began to rent late may get no machines, and an array has ranges in most parts.
+   */
   transferStuck(index: number, owned: Owned, now: number): void {
     if (now - (this.#lastTry.get(index) ?? -Infinity) < TRANSFER_EVERY_MS) return;
     this.#lastTry.set(index, now);
@@ -51,7 +69,8 @@
       if (active === undefined || active.value.ranges.length >= RANGES_MOST) continue;
       tries += 1;
       if (tries > TRANSFER_TRIES) return;
-      const to = this.roomElsewhere(job.spec, index);
+      const to =
+        this.otherParts.roomElsewhere(job.spec, index) ?? this.#lessBooked(job, index, now);
       const can = to === null ? null : owned.part.transferable(job, active.value);
       const era =
         to === null ? null : (this.cache.tables['parts/'].get(String(to.part))?.value.term ?? null);
@@ -60,12 +79,20 @@
       const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
       const count = Math.min(range.to - can.from, to.tasks);
       if (whole && count < range.to - range.from) continue;
+      if (to.tasks === Infinity) this.#lastBalanced.set(index, now);
       void this.#pass(index, owned, job, range, range.to - count, { part: to.part, era });
       // The room that another node spoke of is there once.
       return;
     }
   }
 
+  #lessBooked(job: JobState, index: number, now: number): Destination | null {
+    if (job.stuckSince === null || now - job.stuckSince < BALANCE_AFTER_MS) return null;
+    if (now - (this.#lastBalanced.get(index) ?? -Infinity) < BALANCE_EVERY_MS) return null;
+    const part = this.otherParts.lessBooked(job.spec, index);
+    return part === null ? null : { part, tasks: Infinity };
+  }
+
   async #pass(
     index: number,
     owned: Owned,
--- a/src/peers/part-directory.ts
+++ b/src/peers/part-directory.ts
@@ -1,4 +1,4 @@
-import { SOON_MS, UNKNOWN_LOAD } from '../constants.js';
+import { BALANCE_MARGIN, BALANCE_RATIO, SOON_MS, UNKNOWN_LOAD } from '../constants.js';
 import { loadIndex } from '../core/booked-shares.js';
 import type { PartLoad } from '../core/jobs.js';
 import { fits, PRIORITY_RANK, timesIn, type JobSpec, type Resources } from '../core/model.js';
@@ -158,6 +158,27 @@
     return best;
   }
 
+  /**
+   * The least booked part for the job, if it is booked so much less than `than` that the job begins
+   * sooner there although it has no room now either. Null if none is, or too little is known.
+   */
+  lessBooked(spec: JobSpec, than: number): number | null {
+    const index = loadIndex(PRIORITY_RANK[spec.priority], spec.spot);
+    const own = this.#toldLoads.get(than)?.[index];
+    if (own === undefined) return null;
+    let least: { part: number; load: number } | null = null;
+    for (let part = 0; part < this.parts; part++) {
+      const loads =
+        this.#own(part) === undefined ? this.#told(part)?.loads : this.#toldLoads.get(part);
+      const load = loads?.[index];
+      if (part === than || load === undefined) continue;
+      if (least === null || load < least.load) least = { part, load };
+    }
+    if (least === null) return null;
+    const worthIt = own > Math.max(least.load * BALANCE_RATIO, least.load + BALANCE_MARGIN);
+    return worthIt ? least.part : null;
+  }
+
   /** Tasks of each class, waiting or placed, in all parts but one. */
   busyElsewhere(not: number): Map<string, number> {
     const out = new Map<string, number>();
--- a/src/service.ts
+++ b/src/service.ts
@@ -341,6 +341,7 @@
       fit: (node) =>
         this.#gossip.fresh().find((s) => s.node === node && s.hasState)?.incarnation ?? null,
       roomElsewhere: (spec, not) => this.#directory.roomElsewhere(spec, not),
+      lessBooked: (spec, than) => this.#directory.lessBooked(spec, than),
       imagesOf: (machine) => this.#directory.imagesOf(machine),
       hears: (part) => this.#directory.hearsMost(part),
       cancellationsKnownUntil: () => this.#receiver.knownUntil(this.#cache.currentAt),
--- a/test/part-controller.test.ts
+++ b/test/part-controller.test.ts
@@ -7,7 +7,9 @@
   ATTEMPTS_PER_TERM,
   HANDBACK_MS,
   HANDOVER_SETTLE_MS,
+  BALANCE_AFTER_MS,
   TRANSFER_AFTER_MS,
+  TRANSFER_EVERY_MS,
   STATE_PAUSE_MS,
 } from '../src/constants.js';
 import { renewableMs } from '../src/core/cancellations.js';
@@ -39,6 +41,7 @@
     /** what a current read finds; null: what the cache shows */
     current: null as { key: string; value: unknown; revision: number } | null,
     room: null as { part: number; tasks: number } | null,
+    lessBooked: null as number | null,
     outcome: (writes: readonly Write[]): Outcome | StateTrouble => {
       void writes;
       return { ok: true, epoch: 50 };
@@ -75,6 +78,7 @@
       fit: (n) => (n === 'n1' ? 'b' : null),
       hears: () => null,
       roomElsewhere: () => world.room,
+      lessBooked: () => world.lessBooked,
       imagesOf: () => new Map(),
       cancellationsKnownUntil: () => world.knownUntil,
     },
@@ -314,6 +318,28 @@
   );
 });
 
+test('tasks pass to a part that is booked less only after a long wait, and once in a while', async () => {
+  const s = scene();
+  s.world.lessBooked = 0;
+  // The other node is away, or it would get its part back meanwhile.
+  const away = { key: 'nodes/n1/b', value: undefined, revision: 21, removed: true };
+  s.cache.apply({ fresh: false, epoch: 21, changes: [away] });
+  s.partController.tick();
+  const passes = () =>
+    s.world.written.flat().filter((w) => 'put' in w && w.put === 'active/job-000001').length;
+  s.world.now = BALANCE_AFTER_MS - 1;
+  s.partController.tick();
+  await settle();
+  assert.equal(passes(), 0, 'room may still come up here');
+  s.world.now = BALANCE_AFTER_MS + TRANSFER_EVERY_MS;
+  s.partController.tick();
+  await settle();
+  assert.equal(passes(), 1);
+  assert.deepEqual(s.cache.tables['active/'].get('job-000001')?.value.ranges, [
+    { from: 0, to: 1, part: 0, era: 4 },
+  ]);
+});
+
 test('an own write shown late does not bring a cancelled job back to its part', () => {
   // The part would have started the tasks of a job whose user was told that it is cancelled
   // (docs/incidents/2026-12-02-went-back.md).
