--- a/src/constants.ts
+++ b/src/constants.ts
@@ -180,6 +180,13 @@
 export const ROOM_TRIES = 8;
 /** distinct jobs that must fail on a machine, without a success between, to condemn it. */
 export const SICK_JOBS = 2;
+/** the same if all of them fail elsewhere, too: one job in 25 may be submitted with a mistake, so four of
+ * them in a row on a healthy machine are rare, and a faulty machine meets four jobs within seconds. */
+export const SICK_JOBS_SUSPECT = 4;
+/** failures on different machines, without a success between, after which a job is suspect itself */
+export const SUSPECT_FAILURES = 2;
+/** ms; a task of a suspect job that has run this long shows that the job can run: its other tasks follow. */
+export const PROBE_WELL_MS = 20_000;
 /** s; first and longest pause of a job whose tasks fail on machine after machine. */
 export const JOB_PAUSE_S = { first: 2, most: 60 } as const;
 /** ms; a machine that failed a job's task is avoided by that job for this long. No job may wait for 90 s
@@ -222,6 +229,14 @@
 export const TRANSFER_EVERY_MS = 500;
 /** jobs looked at in one try, the longest waiting first. */
 export const TRANSFER_TRIES = 10;
+/** ms; tasks that wait longer than this although no part has room may pass to one that is less booked. */
+export const BALANCE_AFTER_MS = 10_000;
+/** ms; between two such passes of a part: each costs a write, and what others told is a second old. */
+export const BALANCE_EVERY_MS = 1000;
+/** times; the booked share of a part must be so much larger than the other's: no passing to and fro. */
+export const BALANCE_RATIO = 1.5;
+/** booked share that it must be larger by as well: little differences are not worth a write. */
+export const BALANCE_MARGIN = 0.5;
 /** ms; a range that passed stays at least this long before it passes again. */
 export const TRANSFER_AGAIN_MS = 5000;
 
@@ -283,6 +298,10 @@
 // --- rounding -------------------------------------------------------------------------------------
 /** Volumes nearer than this are equal: the sums differ in the last digits only. */
 export const EQUAL_VOLUME = 1e-9;
+/** unused volume by which a machine may lack the demand's and still fit it: rounding, of every resource */
+export const VOLUME_SLACK = 1e-3;
+/** machines in a block of the order by volume: a block is passed over at the cost of one look */
+export const ORDER_BLOCK = 32;
 /** Sums of decimal amounts are off in the last digits; a millionth of a core is nothing. */
 export const ROUNDING = 1e-6;
 /** A task that asks for nothing still costs its worker something. */
--- a/src/core/part-records.ts
+++ b/src/core/part-records.ts
@@ -36,6 +36,8 @@
   /** demand as a share of C', and its dominant resource */
   readonly share: Resources;
   readonly dominant: ResourceKind;
+  /** what decides where it may go, besides its size */
+  readonly constraintKey: string;
   readonly acceptedAt: number;
   /** accepted, by the steady clock, ms */
   readonly seenAt: number;
@@ -100,7 +102,11 @@
   /** attempts whose direct start may still be under way: forgetting them could start them again */
   readonly doubtful: Set<string>;
   readonly images: Map<string, number>;
-  readonly failedJobs: Set<string>;
+  /** jobs that failed here since the last task that completed here */
+  readonly failedJobs: Map<string, JobState>;
+  /** may be faulty: one task at a time until one completes */
+  onTrial: boolean;
+  /** taken for faulty: nothing starts there, and it goes back to the cloud */
   condemned: boolean;
   /** to be returned: no starts, and what runs is stopped */
   leaving: boolean;
@@ -127,6 +133,14 @@
   readonly startWithin: (jobClass: string) => readonly number[];
 }
 
+/** How much was looked at for decisions since the part was built: it must not grow with the fleet. */
+export interface WorkCounters {
+  /** machines that were tried for a task or a pair */
+  machinesVisited: number;
+  /** waiting jobs that were compared with another one */
+  jobsCompared: number;
+}
+
 /** What has changed in the state service since the last look. */
 export interface Changes {
   readonly jobs: ReadonlySet<string>;
--- a/src/peers/part-directory.ts
+++ b/src/peers/part-directory.ts
@@ -1,4 +1,5 @@
-import { UNKNOWN_LOAD } from '../constants.js';
+import { BALANCE_MARGIN, BALANCE_RATIO, SOON_MS, UNKNOWN_LOAD } from '../constants.js';
+import { loadIndex } from '../core/booked-shares.js';
 import type { PartLoad } from '../core/jobs.js';
 import { fits, PRIORITY_RANK, timesIn, type JobSpec, type Resources } from '../core/model.js';
 import type { MachineState, Part } from '../core/part.js';
@@ -59,6 +60,10 @@
 export class PartDirectory {
   /** the loads of our own parts as last told to the others */
   readonly #toldLoads = new Map<number, number[]>();
+  /** the room of our own parts as of some moments ago */
+  readonly #roomsLately = new Map<number, { of: Part; at: number; rooms: readonly RoomStatus[] }>();
+  /** what each node told of its jobs, by job: users ask many times a second */
+  readonly #progressTold = new WeakMap<PeerStatus['jobs'], Map<string, PeerStatus['jobs']>>();
 
   constructor(
     private readonly parts: number,
@@ -72,15 +77,26 @@
   }
 
   #told(part: number): PeerStatus['parts'][number] | undefined {
-    return this.peers
-      .heard()
-      .flatMap((s) => s.parts)
-      .find((p) => p.part === part);
+    for (const { parts } of this.peers.heard()) {
+      const told = parts.find((p) => p.part === part);
+      if (told !== undefined) return told;
+    }
+    return undefined;
   }
 
   #rooms(part: number): readonly RoomStatus[] {
     const own = this.#own(part);
-    return own === undefined ? (this.#told(part)?.rooms ?? []) : roomsOf(own, this.now());
+    return own === undefined ? (this.#told(part)?.rooms ?? []) : this.#ownRooms(part, own);
+  }
+
+  /** Looking through the machines takes time, and a burst of submissions asks again and again. */
+  #ownRooms(index: number, part: Part): readonly RoomStatus[] {
+    const now = this.now();
+    const known = this.#roomsLately.get(index);
+    if (known !== undefined && known.of === part && now - known.at < SOON_MS) return known.rooms;
+    const rooms = roomsOf(part, now);
+    this.#roomsLately.set(index, { of: part, at: now, rooms });
+    return rooms;
   }
 
   /** What the others are told of one of this node's parts; `detailed` adds its machines' images. */
@@ -93,19 +109,16 @@
         images: [...m.images.keys()],
         gb: [...m.images.values()],
       }));
-    const loads = RANKS.flatMap((rank) => [
-      part.load(rank, false, now),
-      part.load(rank, true, now),
-    ]);
+    const loads = part.loads(now);
     this.#toldLoads.set(index, loads);
-    const waiting = RANKS.map((rank) => part.waiting(rank));
+    const waiting = RANKS.map((rank) => part.waiting(rank, now));
     return {
       part: index,
       loads,
       rooms: roomsOf(part, now),
       waiting,
       images,
-      busy: part.busy(),
+      busy: part.busy(now),
     };
   }
 
@@ -117,7 +130,7 @@
       const own = this.#own(part);
       // Our own figures are as old as those of the others, at most a second: submissions are many.
       const loads = own === undefined ? this.#told(part)?.loads : this.#toldLoads.get(part);
-      const load = loads?.[rank * 2 + Number(spec.spot)] ?? UNKNOWN_LOAD;
+      const load = loads?.[loadIndex(rank, spec.spot)] ?? UNKNOWN_LOAD;
       const fitting = this.#rooms(part).filter((r) => r.rank === 0 && roomFits(spec, r));
       const hasImage = fitting.some((r) => r.images.includes(spec.image));
       out.push({ part, load, fitsNow: fitting.length > 0, hasImage });
@@ -134,7 +147,7 @@
       // A part with tasks of its own waiting, of this rank or above, has no room to offer.
       const own = this.#own(part);
       const waiting =
-        own === undefined ? (this.#told(part)?.waiting[rank] ?? 1) : own.waiting(rank);
+        own === undefined ? (this.#told(part)?.waiting[rank] ?? 1) : own.waiting(rank, this.now());
       if (waiting > 0) continue;
       const rooms = this.#rooms(part).filter((r) => roomFits(spec, r));
       const tasks = rooms.reduce((sum, r) => sum + timesIn(spec.demand, r) * r.count, 0);
@@ -145,12 +158,35 @@
     return best;
   }
 
+  /**
+   * The least booked part for the job, if it is booked so much less than `than` that the job begins
+   * sooner there although it has no room now either. Null if none is, or too little is known.
+   */
+  lessBooked(spec: JobSpec, than: number): number | null {
+    const index = loadIndex(PRIORITY_RANK[spec.priority], spec.spot);
+    const own = this.#toldLoads.get(than)?.[index];
+    if (own === undefined) return null;
+    let least: { part: number; load: number } | null = null;
+    for (let part = 0; part < this.parts; part++) {
+      const loads =
+        this.#own(part) === undefined ? this.#told(part)?.loads : this.#toldLoads.get(part);
+      const load = loads?.[index];
+      if (part === than || load === undefined) continue;
+      if (least === null || load < least.load) least = { part, load };
+    }
+    if (least === null) return null;
+    const worthIt = own > Math.max(least.load * BALANCE_RATIO, least.load + BALANCE_MARGIN);
+    return worthIt ? least.part : null;
+  }
+
   /** Tasks of each class, waiting or placed, in all parts but one. */
   busyElsewhere(not: number): Map<string, number> {
     const out = new Map<string, number>();
     for (let part = 0; part < this.parts; part++) {
       if (part === not) continue;
-      for (const { jobClass, tasks } of this.#own(part)?.busy() ?? this.#told(part)?.busy ?? []) {
+      for (const { jobClass, tasks } of this.#own(part)?.busy(this.now()) ??
+        this.#told(part)?.busy ??
+        []) {
         out.set(jobClass, (out.get(jobClass) ?? 0) + tasks);
       }
     }
@@ -166,14 +202,31 @@
       done += counts.done;
       running += counts.running;
     }
-    for (const job of this.peers.heard().flatMap((s) => s.jobs)) {
-      if (job.uid !== uid || this.owned().has(job.part)) continue;
-      done += job.done;
-      running += job.running;
+    for (const { jobs } of this.peers.heard()) {
+      for (const told of this.#byUid(jobs).get(uid) ?? []) {
+        if (this.owned().has(told.part)) continue;
+        done += told.done;
+        running += told.running;
+      }
     }
     return { done, running };
   }
 
+  /** The list is the same until the node tells another one. */
+  #byUid(jobs: PeerStatus['jobs']): Map<string, PeerStatus['jobs']> {
+    let byUid = this.#progressTold.get(jobs);
+    if (byUid === undefined) {
+      byUid = new Map();
+      for (const job of jobs) {
+        const same = byUid.get(job.uid);
+        if (same === undefined) byUid.set(job.uid, [job]);
+        else same.push(job);
+      }
+      this.#progressTold.set(jobs, byUid);
+    }
+    return byUid;
+  }
+
   /** Images that another owner knew on a machine, with their sizes. */
   imagesOf(machine: string): ReadonlyMap<string, number> {
     for (const { images } of this.peers.latest().flatMap((s) => s.parts)) {
