Limits that a fleet of 4,000 machines reaches: sockets, peer messages, memory of large jobs, seen jobs

- A survivor has fewer sockets than workers, whose connections stay open: from 70 % of the inbound share on each answer closes its connection.
- A status over the frame limit ended the connection at every receiver; now images, then progress, are left out, with a log line (frames.test.ts).
- More than 20,000 active jobs were counted as new arrivals at every look (size.test.ts).
- Whether a part is rebuilt is remembered instead of looked up in all machines for each waiting job.
- Completed ranges are counted without building sets.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -31,6 +31,8 @@
 /** share of the process's sockets that direct commands may take at once: a survivor that takes over
  * every part claims all workers, and their reports and the users need sockets as well. */
 export const DIRECT_SHARE = 0.08;
+/** share of the inbound connections beyond which answers close theirs: what is left takes newcomers */
+export const CROWDED_SHARE = 0.7;
 /** sockets to each other node: one a way, and as many that have ended and are not gone yet */
 export const PEER_SOCKETS = 4;
 /** sockets kept back for what is counted nowhere: listeners, probes of the load balancer, watches */
@@ -129,7 +131,7 @@
 export const DETAIL_EVERY = 8;
 /** ms; a peer not heard for this long counts as unreachable. */
 export const PEER_FRESH_MS = 3500;
-/** bytes; a gossip message is a few KiB, so a longer frame is an error of the sender. */
+/** bytes; a longer frame is an error of the sender: what does not fit is left out before. */
 export const PEER_FRAME_BYTES = 1024 * 1024;
 /** ms; a cancellation is told to the other nodes this soon, together with those of the same moment. */
 export const TELL_MS = 50;
@@ -278,7 +280,7 @@
 export const RENT_MS = 2000;
 
 // --- learning -----------------------------------------------------------------------------------
-/** jobs remembered against counting twice */
+/** jobs remembered against counting twice, before those that have ended are sorted out */
 export const SEEN_MOST = 20_000;
 /** s; shortest span that a rate is taken over */
 export const FIRST_SPAN_S = 120;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -4,7 +4,7 @@
 /** Completed tasks of a range as a bitmap in hex, four tasks a character, first task first. */
 export const encodeDone = (
   range: { from: number; to: number },
-  done: ReadonlySet<number>,
+  done: { has(task: number): boolean },
 ): string => {
   let out = '';
   for (let i = range.from; i < range.to; i += 4) {
@@ -27,6 +27,19 @@
   return done;
 };
 
+/** How many tasks of the range a bitmap shows as done. */
+export const countDone = (range: { from: number; to: number }, bits: string): number => {
+  let count = 0;
+  for (let c = 0; c < bits.length; c++) {
+    let nibble = Number.parseInt(bits[c]!, 16);
+    const left = range.to - range.from - c * 4;
+    // The bitmap of an earlier, longer cut says more than is asked.
+    if (left < 4) nibble &= 0xf << (4 - Math.max(0, left));
+    for (; nibble > 0; nibble &= nibble - 1) count += 1;
+  }
+  return count;
+};
+
 /** What either of two bitmaps of the same range says is done; the longer one's length. */
 export const eitherDone = (a: string, b: string): string => {
   const [long, short] = a.length >= b.length ? [a, b] : [b, a];
@@ -114,5 +127,5 @@
 export const allDone = (job: JobRecord, saved: (range: TaskRange) => string | undefined): boolean =>
   job.ranges.every((r) => {
     const bits = saved(r);
-    return bits !== undefined && decodeDone(r, bits).size === r.to - r.from;
+    return bits !== undefined && countDone(r, bits) === r.to - r.from;
   });
--- a/src/core/learning.ts
+++ b/src/core/learning.ts
@@ -36,7 +36,9 @@
 export class Learning {
   readonly #classes = new Map<string, Learned>();
   #firstAt: number | null = null;
-  readonly #seen = new Set<string>();
+  #seenMost = SEEN_MOST;
+  /** jobs that were counted; see `keepOnly` */
+  #seen = new Set<string>();
 
   #of(name: string): Learned {
     let c = this.#classes.get(name);
@@ -57,10 +59,6 @@
   arrived(spec: JobSpec, at: number): void {
     if (this.#seen.has(spec.uid)) return;
     this.#seen.add(spec.uid);
-    if (this.#seen.size > SEEN_MOST) {
-      const oldest = this.#seen.values().next().value;
-      if (oldest !== undefined) this.#seen.delete(oldest);
-    }
     const c = this.#of(spec.jobClass);
     this.#firstAt = this.#firstAt === null ? at : Math.min(this.#firstAt, at);
     c.arrivals.push({ at, tasks: spec.tasks });
@@ -71,6 +69,16 @@
     }
   }
 
+  /**
+   * Forgets jobs that have ended, once so many are remembered: they do not come by again. Those that have
+   * not ended must stay, however many they are, or each would be counted anew at every look.
+   */
+  keepOnly(active: { has(uid: string): boolean }): void {
+    if (this.#seen.size <= this.#seenMost) return;
+    this.#seen = new Set([...this.#seen].filter((uid) => active.has(uid)));
+    this.#seenMost = Math.max(SEEN_MOST, 2 * this.#seen.size);
+  }
+
   ran(jobClass: string, runS: number): void {
     const c = this.#of(jobClass);
     c.finished += 1;
--- a/src/core/part-records.ts
+++ b/src/core/part-records.ts
@@ -8,6 +8,8 @@
   Team,
 } from './model.js';
 
+import type { TaskSet } from './task-set.js';
+
 /**
  * What one part knows of its jobs, its machines and which task is where: the data that the modules of a
  * part share. PartState keeps them up to date.
@@ -43,11 +45,11 @@
   readonly seenAt: number;
   /** tasks of this part that are neither saved nor placed, in order of number */
   waiting: number[];
-  readonly own: Set<number>;
+  readonly own: TaskSet;
   /** tasks that an earlier owner of the part may have started */
-  readonly inherited: Set<number>;
+  readonly inherited: TaskSet;
   readonly placed: Map<number, Placement>;
-  readonly saved: Set<number>;
+  readonly saved: TaskSet;
   readonly unsaved: Set<number>;
   /** done or cancelled: nothing starts, what runs is stopped */
   over: boolean;
--- a/src/core/part-state.ts
+++ b/src/core/part-state.ts
@@ -21,6 +21,7 @@
   type Resources,
   type TaskRange,
 } from './model.js';
+import { TaskSet } from './task-set.js';
 import { MachineHealth } from './machine-health.js';
 import {
   neverSent,
@@ -55,6 +56,8 @@
   readonly work: WorkCounters = { machinesVisited: 0, jobsCompared: 0 };
   largest: Resources;
   attempts = 0;
+  /** remembered, since it is asked for every waiting job: only another machine's record can undo it */
+  #rebuilt = false;
 
   constructor(
     readonly index: number,
@@ -90,7 +93,7 @@
     for (const { value: record } of view.machines.values()) {
       if (record.part !== this.index) continue;
       const known = this.machines.get(record.name);
-      if (known !== undefined) known.record = record;
+      if (known !== undefined) this.#updateRecord(known, record);
       else if (!this.gone.has(record.name)) this.#addMachine(record, now);
     }
     for (const m of [...this.machines.values()]) {
@@ -104,7 +107,13 @@
     }
   }
 
+  #updateRecord(m: MachineState, record: MachineRecord): void {
+    if (record.era !== this.term) this.#rebuilt = false;
+    m.record = record;
+  }
+
   #addMachine(record: MachineRecord, now: number): void {
+    this.#rebuilt = false;
     const type = this.settings.types.get(record.type) ?? null;
     this.machines.set(record.name, {
       record,
@@ -163,10 +172,10 @@
         // A new owner counts a job's age on, rather than anew.
         seenAt: now - Math.max(0, nowOfDay - record.at),
         waiting: [],
-        own: new Set(),
-        inherited: new Set(),
+        own: new TaskSet(),
+        inherited: new TaskSet(),
         placed: new Map(),
-        saved: new Set(),
+        saved: new TaskSet(),
         unsaved: new Set(),
         over: false,
         pausedUntil: -Infinity,
@@ -273,6 +282,11 @@
 
   /** True once every machine that an earlier owner could have used has answered us or is gone. */
   get rebuilt(): boolean {
+    this.#rebuilt ||= this.#everyInheritedMachineHeard();
+    return this.#rebuilt;
+  }
+
+  #everyInheritedMachineHeard(): boolean {
     for (const m of this.machines.values()) {
       if (this.health.inherited(m) && !m.everKnown) return false;
     }
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -40,8 +40,7 @@
     const aimsOf = new Map<string, readonly number[]>();
     const open: { job: JobState; guaranteed: boolean; due: number }[] = [];
     for (const job of this.state.jobs.values()) {
-      if (placeableTasks(job, now) === 0) continue;
-      if (!rebuilt && job.inherited.size > 0) continue;
+      if (!isOpen(job, rebuilt, now)) continue;
       const { jobClass } = job.spec;
       let aims = aimsOf.get(jobClass);
       if (aims === undefined) {
@@ -97,8 +96,9 @@
   placeOn(m: MachineState, now: number): void {
     if (this.#last === null || !fits(this.#last.least, m.free)) return;
     // Thousands may wait, and reports are many: what cannot fit is not looked at any further.
+    const { rebuilt } = this.state;
     const open = this.#last.stuck.filter(
-      (job) => fits(job.spec.demand, m.free) && this.#open(job, now),
+      (job) => fits(job.spec.demand, m.free) && isOpen(job, rebuilt, now),
     );
     const queue = this.#imagesFirst(open, m, now);
     if (queue.length > 0) this.#place(queue, new Candidates(this.state, this.#last.least, now, m));
@@ -125,11 +125,6 @@
     return out;
   }
 
-  #open(job: JobState, now: number): boolean {
-    if (placeableTasks(job, now) === 0) return false;
-    return job.inherited.size === 0 || this.state.rebuilt;
-  }
-
   #place(queue: readonly JobState[], rooms: Candidates): JobState[] {
     const stuck: JobState[] = [];
     const partners = new Partners(queue, rooms.now, this.state.work);
@@ -222,6 +217,10 @@
   }
 }
 
+/** It has tasks to place, and none of its tasks can still be running by an earlier owner's order. */
+const isOpen = (job: JobState, rebuilt: boolean, now: number): boolean =>
+  (rebuilt || job.inherited.size === 0) && placeableTasks(job, now) > 0;
+
 /** Some task of it is or was on a machine. */
 const hasBegun = (job: JobState): boolean =>
   job.placed.size + job.saved.size + job.unsaved.size > 0;
--- a/src/parts/completions.ts
+++ b/src/parts/completions.ts
@@ -107,7 +107,7 @@
   }
 
   #bits(job: JobState, ranges: readonly TaskRange[]): Map<number, string> {
-    const done = new Set([...job.saved, ...job.unsaved]);
+    const done = { has: (i: number) => job.saved.has(i) || job.unsaved.has(i) };
     return new Map(ranges.map((r) => [r.from, encodeDone(r, done)]));
   }
 
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -59,13 +59,46 @@
 
 const Status = protobuf.parse(protoFile()).root.lookupType('sumacstep.Status');
 
-/** Status objects in, length-delimited bytes out, a buffer a status: encoded once for all peers. */
+const encode = (status: PeerStatus): Buffer =>
+  Buffer.from(Status.encodeDelimited(Status.fromObject(status)).finish());
+
+const withoutImages = (status: PeerStatus): PeerStatus => ({
+  ...status,
+  parts: status.parts.map((part) => ({ ...part, images: [] })),
+});
+
+const withoutProgress = (status: PeerStatus): PeerStatus => ({
+  ...status,
+  jobs: [],
+  parts: status.parts.map((part) => ({
+    ...part,
+    rooms: part.rooms.map((room) => ({ ...room, images: [] })),
+  })),
+});
+
+/**
+ * Status objects in, length-delimited bytes out, a buffer a status: encoded once for all peers. What grows
+ * with the machines and jobs is left out of a status that would be too long for the receivers; it only
+ * helps them to place better, and counts for display.
+ */
 export class StatusEncoder extends Transform {
-  constructor() {
+  constructor(
+    /** called with the bytes of a status that was too long */
+    private readonly onTooLong: (bytes: number) => void = () => undefined,
+  ) {
     super({ writableObjectMode: true, readableObjectMode: true });
   }
+
   override _transform(status: PeerStatus, _: BufferEncoding, done: TransformCallback): void {
-    done(null, Buffer.from(Status.encodeDelimited(Status.fromObject(status)).finish()));
+    const whole = encode(status);
+    if (whole.length <= PEER_FRAME_BYTES) {
+      done(null, whole);
+      return;
+    }
+    this.onTooLong(whole.length);
+    const shorter = withoutImages(status);
+    const bytes = encode(shorter);
+    done(null, bytes.length <= PEER_FRAME_BYTES ? bytes : encode(withoutProgress(shorter)));
   }
 }
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,7 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { finished, pipeline } from 'node:stream';
 import type { Logger } from 'pino';
-import { DETAIL_EVERY, GOSSIP_MS, PEER_FRESH_MS, TELL_MS } from '../constants.js';
+import { DETAIL_EVERY, GOSSIP_MS, PEER_FRESH_MS, SUMMARY_MS, TELL_MS } from '../constants.js';
 import { StatusDecoder, StatusEncoder, type PeerStatus } from './frames.js';
 
 export interface Peer {
@@ -33,7 +33,8 @@
 export class Gossip {
   readonly #heard = new Map<string, Heard>();
   readonly #out = new Map<string, Socket>();
-  readonly #encoder = new StatusEncoder();
+  readonly #encoder: StatusEncoder;
+  #lastTooLong = -Infinity;
   #ticks = 0;
   readonly #sockets = new Set<Socket>();
   #server: Server | null = null;
@@ -50,6 +51,7 @@
     private readonly now: () => number,
     private readonly log: Logger,
   ) {
+    this.#encoder = new StatusEncoder((bytes) => this.#tooLong(bytes));
     this.#encoder.on('data', (bytes: Buffer) => this.#send(bytes));
   }
 
@@ -108,6 +110,13 @@
     }, TELL_MS);
   }
 
+  #tooLong(bytes: number): void {
+    const now = this.now();
+    if (now - this.#lastTooLong < SUMMARY_MS) return;
+    this.#lastTooLong = now;
+    this.log.info({ bytes }, 'status too long for a message: images or progress are left out');
+  }
+
   /** The same bytes go to every peer; one that does not take them gets none added to the pile. */
   #send(bytes: Buffer): void {
     for (const peer of this.peers) {
--- a/src/service.ts
+++ b/src/service.ts
@@ -33,7 +33,7 @@
 import { cloudShare, LimitSharing, stateShare } from './service/limit-sharing.js';
 import { Readiness } from './service/readiness.js';
 import { Summary } from './service/summary.js';
-import { shareSockets } from './sockets.js';
+import { InboundConnections, shareSockets } from './sockets.js';
 import { StateClient } from './state/client.js';
 import { LinearizableReads } from './state/linearizable-reads.js';
 import { NodeLease } from './state/lease.js';
@@ -221,10 +221,13 @@
       }),
     );
     const handler = app.callback();
-    const server = createServer((req, res) => void handler(req, res));
+    const { inbound } = shareSockets(this.config.sockets, this.config.peers.length);
+    const server = createServer((req, res) => {
+      connections.answering(res);
+      void handler(req, res);
+    });
+    const connections = new InboundConnections(server, inbound);
     server.keepAliveTimeout = this.config.workers.leaseS * 1000 * IDLE_LEASES;
-    // Beyond this a connection is closed at once, and its worker or the load balancer tries another node.
-    server.maxConnections = shareSockets(this.config.sockets, this.config.peers.length).inbound;
     server.requestTimeout = REQUEST_MS;
     server.on('drop', () => this.#summary.connectionDropped());
     this.#server = server;
@@ -288,6 +291,7 @@
     for (const { value } of this.#cache.tables['active/'].values()) {
       this.#learning.arrived(value.spec, Math.min(nowS, value.at / 1000));
     }
+    this.#learning.keepOnly(this.#cache.tables['active/']);
     for (const status of this.#gossip.heard()) {
       for (const c of status.classes) this.#learning.adopt(c.jobClass, c.runS, c.finished);
     }
--- a/src/sockets.ts
+++ b/src/sockets.ts
@@ -1,11 +1,40 @@
+import type { Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import {
   CLOUD_SOCKETS,
+  CROWDED_SHARE,
   DIRECT_SHARE,
   PEER_SOCKETS,
   SPARE_SOCKETS,
   STATE_SOCKETS,
 } from './constants.js';
 
+/**
+ * Inbound connections of a server. Workers and users keep theirs open, and one survivor may have more workers
+ * than sockets: so from some share of the limit on each answer closes its connection, and the sockets go
+ * round. Then a report costs a connection of its own, but every worker is heard.
+ */
+export class InboundConnections {
+  #open = 0;
+
+  constructor(
+    server: Server,
+    private readonly most: number,
+  ) {
+    // Beyond this a connection is closed at once, and its worker or the load balancer tries another node.
+    server.maxConnections = most;
+    server.on('connection', (socket: Socket) => {
+      this.#open += 1;
+      socket.once('close', () => (this.#open -= 1));
+    });
+  }
+
+  /** To be called with each response before it is sent. */
+  answering(response: Pick<ServerResponse, 'setHeader'>): void {
+    if (this.#open > this.most * CROWDED_SHARE) response.setHeader('Connection', 'close');
+  }
+}
+
 export interface SocketShares {
   /** direct commands to workers at the same time */
   readonly direct: number;
--- a/test/frames.test.ts
+++ b/test/frames.test.ts
@@ -58,6 +58,37 @@
   }
 });
 
+test('a status of more machines than fit a message goes without their images, or without progress', async () => {
+  const names = Array.from({ length: 20 }, (_, i) => `image-${i}`);
+  const images = Array.from({ length: 6000 }, (_, i) => ({
+    machine: `vm-${100_000 + i}`,
+    images: names,
+    gb: names.map(() => 7.5),
+  }));
+  const jobs = Array.from({ length: 60_000 }, (_, i) => ({
+    uid: `job-${100_000 + i}`,
+    ...{ running: 1, done: 2, part: 1 },
+  }));
+  const [part] = STATUS.parts;
+  const cases = [
+    { name: 'images', status: { ...STATUS, parts: [{ ...part!, images }] }, jobs: STATUS.jobs },
+    { name: 'both', status: { ...STATUS, jobs, parts: [{ ...part!, images }] }, jobs: [] },
+  ];
+  for (const { name, status, jobs: left } of cases) {
+    const tooLong: number[] = [];
+    const encoder = new StatusEncoder((bytes) => tooLong.push(bytes));
+    const got: PeerStatus[] = [];
+    for await (const s of Readable.from([status]).pipe(encoder).pipe(new StatusDecoder())) {
+      got.push(s as PeerStatus);
+    }
+    assert.equal(tooLong.length, 1, name);
+    assert.equal(got.length, 1, name);
+    assert.deepEqual(got[0]?.jobs, left, name);
+    assert.deepEqual(got[0]?.parts[0]?.images, [], name);
+    assert.deepEqual(got[0]?.parts[0]?.loads, part!.loads, name);
+  }
+});
+
 test('garbage and oversized frames end the stream with an error', async () => {
   for (const bytes of [Buffer.from('ffffffff7f', 'hex'), Buffer.from('03ffffff', 'hex')]) {
     const decoder = Readable.from([bytes]).pipe(new StatusDecoder());
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -6,7 +6,11 @@
 import { unusedVolume } from '../src/core/placement.js';
 import { VolumeOrder } from '../src/core/volume-order.js';
 import { randomFrom } from '../src/random.js';
-import { job, machine, machineType, partWith, Store } from './helpers.js';
+import { FIRST_SPAN_S, SEEN_MOST } from '../src/constants.js';
+import { countDone, decodeDone, encodeDone } from '../src/core/jobs.js';
+import { Learning } from '../src/core/learning.js';
+import { TaskSet } from '../src/core/task-set.js';
+import { job, machine, machineType, partWith, spec, Store } from './helpers.js';
 
 /**
  * What a decision looks at must not grow with the fleet. The counts depend on the state alone, so the
@@ -150,6 +154,51 @@
   assert.ok(looked < 100 * machines, `${looked / machines} looks at each machine`);
 });
 
+test('a set of task numbers behaves like a set, in order', () => {
+  const random = randomFrom(5);
+  const tasks = new TaskSet();
+  const plain = new Set<number>();
+  for (let step = 0; step < 5000; step++) {
+    const task = random(100_000) >> random(12);
+    assert.equal(tasks.has(task), plain.has(task));
+    if (random(3) === 0) assert.equal(tasks.delete(task), plain.delete(task));
+    else {
+      tasks.add(task);
+      plain.add(task);
+    }
+    assert.equal(tasks.size, plain.size);
+  }
+  assert.deepEqual(
+    [...tasks],
+    [...plain].sort((a, b) => a - b),
+  );
+});
+
+test('completed tasks are counted from a bitmap as from a set', () => {
+  const random = randomFrom(3);
+  for (let i = 0; i < 300; i++) {
+    const from = random(50);
+    const range = { from, to: from + 1 + random(40) };
+    const done = new Set(Array.from({ length: random(60) }, () => random(100)));
+    const cuts = [range, { from, to: range.to + random(9) }];
+    for (const cut of cuts) {
+      const bits = encodeDone(cut, done);
+      assert.equal(countDone(range, bits), decodeDone(range, bits).size, JSON.stringify(range));
+    }
+  }
+});
+
+test('more jobs that have not ended than are remembered: each counts once', () => {
+  const learning = new Learning();
+  const active = new Set(Array.from({ length: SEEN_MOST + 1000 }, (_, i) => `job-${i}`));
+  for (let look = 0; look < 3; look++) {
+    for (const uid of active) learning.arrived(spec({ uid }), 10);
+    learning.keepOnly(active);
+  }
+  const { tasksPerS } = learning.stats(20).get('c')!;
+  assert.equal(Math.round(tasksPerS * FIRST_SPAN_S), active.size);
+});
+
 test('an ordered search finds what a search through all machines finds, while they change', () => {
   for (let seed = 1; seed <= 40; seed++) {
     const random = randomFrom(seed);
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { CloudClient, CloudTrouble } from '../src/cloud/client.js';
-import { shareSockets } from '../src/sockets.js';
+import { CborClient } from '../src/http.js';
+import { InboundConnections, shareSockets } from '../src/sockets.js';
+import { toBytes } from '../src/wire/cbor.js';
 import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
 import { StandInServer } from './standins/server.js';
 import { FakeWorker, World } from './standins/worker.js';
@@ -22,6 +26,37 @@
   });
 }
 
+test('more callers with connections that stay open than sockets: every one of them is heard', async () => {
+  const most = 10;
+  const callers = 40;
+  let connections: InboundConnections | null = null;
+  const server = createServer((request, response) => {
+    connections?.answering(response);
+    request.resume();
+    request.on('end', () => response.end(toBytes({ ok: true })));
+  });
+  connections = new InboundConnections(server, most);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const clients = Array.from({ length: callers }, () => new CborClient(`127.0.0.1:${port}`, 1));
+  const heard = new Set<number>();
+  /** As a worker does: the next try after a refused connection. */
+  const call = async (client: CborClient, i: number) => {
+    const answer = await client.call('GET', '/', undefined, 2000).catch(() => null);
+    if (answer?.status === 200) heard.add(i);
+  };
+  try {
+    for (let round = 0; round < 20 && heard.size < callers; round++) {
+      await Promise.all(clients.map((client, i) => call(client, i)));
+    }
+    assert.equal(heard.size, callers);
+  } finally {
+    for (const client of clients) client.close();
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
 test('direct commands go to so many machines at once; the rest is told by answers', () => {
   const names = Array.from({ length: 30 }, (_, i) => `m${i}`);
   const store = new Store().add(...names.map((n) => machine(n)));
