A part given away for want of workers was handed back at once, and its machines returned as silent

Now a part that its living node gave away stays 45 s with the one that got it, twice as long each time, and a new owner that hears none of the machines that are recorded as up is cut off as well.

Ruled out: machines that really were silent; they reported to other controllers all the time and were sent on.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -123,6 +123,9 @@
 export const HANDBACK_MS = 8000;
 /** ms; upper end of that time, which doubles with every handover of a part: no flapping. */
 export const HANDBACK_MAX_MS = 120_000;
+/** ms; a part that its living node gave away stays with the one that got it so long: that node hears no
+ * workers, and nothing tells when it does again. Doubles each time, up to `HANDBACK_MAX_MS`. */
+export const GIVEN_AWAY_MS = 45_000;
 /** ms; a handover without an answer is settled after this: the call itself has timed out by then. */
 export const HANDOVER_SETTLE_MS = 2500;
 /** ms; gossip interval between nodes. */
--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -1,7 +1,13 @@
-import { HANDBACK_MAX_MS, HANDBACK_MS, TAKEOVER_GRACE_MS } from '../constants.js';
+import { GIVEN_AWAY_MS, HANDBACK_MAX_MS, HANDBACK_MS, TAKEOVER_GRACE_MS } from '../constants.js';
 
 /** Who should own which part: pure decisions over what the state service shows. */
 
+/** One life of a node that owns a part. */
+export interface Owner {
+  readonly owner: string;
+  readonly incarnation: string;
+}
+
 export interface OwnershipView {
   readonly me: string;
   readonly incarnation: string;
@@ -9,7 +15,7 @@
   readonly nodes: readonly string[];
   /** incarnations with a living lease; a node restarted quickly has two for a while */
   readonly alive: ReadonlyMap<string, ReadonlySet<string>>;
-  readonly parts: ReadonlyMap<number, { readonly owner: string; readonly incarnation: string }>;
+  readonly parts: ReadonlyMap<number, Owner>;
   readonly count: number;
 }
 
@@ -26,7 +32,7 @@
 export const preferred = (part: number, nodes: readonly string[]): string =>
   nodes[part % nodes.length]!;
 
-const lives = (view: OwnershipView, p: { owner: string; incarnation: string }): boolean =>
+const lives = (view: OwnershipView, p: Owner): boolean =>
   view.alive.get(p.owner)?.has(p.incarnation) ?? false;
 
 /** Remembers since when parts had no owner and nodes live; decides what to take and to give. */
@@ -34,6 +40,10 @@
   readonly #orphanSince = new Map<number, number>();
   readonly #fitSince = new Map<string, { incarnation: string; at: number }>();
   readonly #handovers = new Map<number, number>();
+  /** the owner of each part at the last look */
+  readonly #lastOwner = new Map<number, Owner>();
+  /** parts that their living nodes gave to this one: when last, and how often */
+  readonly #givenToUs = new Map<number, { at: number; times: number }>();
 
   /** `fit` gives the incarnation of a node that could get a part: reachable and with state. */
   steps(view: OwnershipView, now: number, fit: (node: string) => string | null): OwnershipStep[] {
@@ -56,6 +66,7 @@
   #step(part: number, view: OwnershipView, now: number): OwnershipStep | null {
     const owner = view.parts.get(part);
     const home = preferred(part, view.nodes);
+    this.#noteGiven(part, view, home, now);
     if (owner !== undefined && lives(view, owner)) {
       this.#orphanSince.delete(part);
       if (owner.owner !== view.me || home === view.me) {
@@ -65,7 +76,7 @@
       }
       const since = this.#fitSince.get(home);
       const hold = Math.min(HANDBACK_MAX_MS, HANDBACK_MS * 2 ** (this.#handovers.get(part) ?? 0));
-      if (since === undefined || now - since.at < hold) return null;
+      if (since === undefined || now - since.at < hold || this.#mustKeep(part, now)) return null;
       return { kind: 'give', part, to: home, incarnation: since.incarnation };
     }
     const since = this.#orphanSince.get(part) ?? now;
@@ -81,6 +92,29 @@
     return now - since >= wait * TAKEOVER_GRACE_MS ? { kind: 'take', part } : null;
   }
 
+  /**
+   * A node that lives gives its part away only while it hears no workers. Given back at once, it would have
+   * the part again under a new term, hear nobody, and return every machine as silent
+   * (docs/incidents/2026-12-02-handed-back.md).
+   */
+  #noteGiven(part: number, view: OwnershipView, home: string, now: number): void {
+    const before = this.#lastOwner.get(part);
+    const owner = view.parts.get(part);
+    if (owner === undefined) return;
+    this.#lastOwner.set(part, owner);
+    const changed = before?.owner !== owner.owner;
+    if (!changed || before?.owner !== home || owner.owner !== view.me) return;
+    if (!lives(view, before)) return;
+    const times = (this.#givenToUs.get(part)?.times ?? 0) + 1;
+    this.#givenToUs.set(part, { at: now, times });
+  }
+
+  #mustKeep(part: number, now: number): boolean {
+    const given = this.#givenToUs.get(part);
+    if (given === undefined) return false;
+    return now - given.at < Math.min(HANDBACK_MAX_MS, GIVEN_AWAY_MS * 2 ** (given.times - 1));
+  }
+
   /** Each handover doubles the time until the next one of that part. */
   handedOver(part: number): void {
     this.#handovers.set(part, (this.#handovers.get(part) ?? 0) + 1);
--- a/src/core/part-state.ts
+++ b/src/core/part-state.ts
@@ -293,6 +293,17 @@
     return true;
   }
 
+  /** Machines that should report, and none of them has for the time; answers to commands do not count. */
+  hearsNobody(now: number, forMs: number): boolean {
+    let expected = 0;
+    for (const m of this.machines.values()) {
+      if (m.returning || !m.record.up) continue;
+      if (now - Math.max(m.reportedAt, m.since) < forMs) return false;
+      expected += 1;
+    }
+    return expected > 0;
+  }
+
   /** An answered return, or a taken-over record: nothing of ours is on that machine any more. */
   machineGone(name: string, now: number): void {
     const m = this.machines.get(name);
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -144,6 +144,10 @@
   ignoresCommands(m: MachineState, now: number): boolean {
     return this.state.health.ignoresCommands(m, now);
   }
+  /** Machines of the part should report, and none has done so for the time, however new the owner is. */
+  hearsNobody(now: number, forMs: number): boolean {
+    return this.state.hearsNobody(now, forMs);
+  }
   isLost(m: MachineState, now: number): boolean {
     return this.state.health.isLost(m, now);
   }
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -291,11 +291,10 @@
 
   /** Cut off from the workers alone: a node that hears them should own their part. */
   #handOverIfCutOff(index: number, part: Part, now: number): void {
-    const known = [...part.machines.values()].filter((m) => m.everKnown && !m.returning);
-    if (known.length === 0 || known.some((m) => now - m.lastHeartbeatAt < NO_HEARTBEATS_MS)) return;
+    if (!part.hearsNobody(now, NO_HEARTBEATS_MS)) return;
     const to = this.peers.hears(index);
     const incarnation = to === null ? null : this.peers.fit(to);
-    if (to === null || incarnation === null) return;
+    if (to === null || to === this.config.node || incarnation === null) return;
     this.#noTakeoverUntil = now + HANDBACK_MS * 2;
     this.log.info({ part: index, to }, 'no worker of the part reports here, but they do elsewhere');
     void this.#give(index, to, incarnation);
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { HANDBACK_MS, TAKEOVER_GRACE_MS } from '../src/constants.js';
+import {
+  GIVEN_AWAY_MS,
+  HANDBACK_MAX_MS,
+  HANDBACK_MS,
+  TAKEOVER_GRACE_MS,
+} from '../src/constants.js';
 import { Ownership, type OwnershipView } from '../src/core/ownership.js';
 
 const NODES = ['n0', 'n1', 'n2'];
@@ -70,6 +75,33 @@
   }
 });
 
+test('a part that its living node gave away is not given back at once, later each time', () => {
+  // The node hears no workers: with its part again it returned 177 machines as silent
+  // (docs/incidents/2026-12-02-handed-back.md).
+  const o = new Ownership();
+  const own = view('n0', 'a', ALL, OWN);
+  const given = view('n0', 'a', ALL, { ...OWN, 1: ['n0', 'a'] });
+  let now = 100 * HANDBACK_MS;
+  for (const hold of [GIVEN_AWAY_MS, 2 * GIVEN_AWAY_MS, HANDBACK_MAX_MS, HANDBACK_MAX_MS]) {
+    assert.deepEqual(takes(o, own, now), []);
+    assert.deepEqual(takes(o, given, now + 1), []);
+    assert.deepEqual(takes(o, given, now + hold), [], `kept for ${hold} ms`);
+    assert.deepEqual(takes(o, given, now + hold + 1), ['give 1']);
+    now += hold + 1;
+  }
+});
+
+test('a part of a node that had ended is given back as before', () => {
+  const o = new Ownership();
+  const ended = { n0: ['a'], n2: ['c'] };
+  takes(o, view('n0', 'a', ALL, OWN), 0);
+  takes(o, view('n0', 'a', ended, OWN), 1000);
+  takes(o, view('n0', 'a', ended, { ...OWN, 1: ['n0', 'a'] }), 2000);
+  const back = view('n0', 'a', { ...ALL, n1: ['b'] }, { ...OWN, 1: ['n0', 'a'] });
+  assert.deepEqual(takes(o, back, 3000), []);
+  assert.deepEqual(takes(o, back, 3000 + HANDBACK_MS), ['give 1']);
+});
+
 test('a returned node gets its part back after a while, later each time', () => {
   const o = new Ownership();
   const held = view('n0', 'a', ALL, { ...OWN, 1: ['n0', 'a'] });
