A controller cut from its workers alone, as a case with whole controllers; short report intervals hand over sooner

Where workers report more often than the 7 s without a report fit in before machines count as lost, the part is handed over after 2.5 report intervals.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -145,6 +145,9 @@
 export const LET_GO_MARGIN_MS = 1500;
 /** ms; an owner whose workers are all silent for this long, while a peer hears them, hands over. */
 export const NO_HEARTBEATS_MS = 7000;
+/** report intervals; the same where workers report so often that this comes sooner: machines count as lost
+ * after `LOST_REPORTS` of them. */
+export const NO_HEARTBEATS_REPORTS = 2.5;
 /** attempt numbers are term * this + counter: below 2^53 for terms under a billion. */
 export const ATTEMPTS_PER_TERM = 2 ** 23;
 
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -4,6 +4,7 @@
 import {
   CLAIM_PAUSE_MS,
   NO_HEARTBEATS_MS,
+  NO_HEARTBEATS_REPORTS,
   HANDBACK_MS,
   HANDOVER_SETTLE_MS,
   LOOP_MS,
@@ -291,7 +292,9 @@
 
   /** Cut off from the workers alone: a node that hears them should own their part. */
   #handOverIfCutOff(index: number, part: Part, now: number): void {
-    if (!part.hearsNobody(now, NO_HEARTBEATS_MS)) return;
+    const reportMs = this.config.workers.reportS * 1000;
+    if (!part.hearsNobody(now, Math.min(NO_HEARTBEATS_MS, reportMs * NO_HEARTBEATS_REPORTS)))
+      return;
     const to = this.peers.hears(index);
     const incarnation = to === null ? null : this.peers.fit(to);
     if (to === null || to === this.config.node || incarnation === null) return;
--- a/test/combined-faults.test.ts
+++ b/test/combined-faults.test.ts
@@ -338,6 +338,25 @@
       await c.start('n0');
     },
   },
+  {
+    // Handed back at once, the part was its cut node's again, which returned every machine as silent.
+    name: 'a controller is cut from its workers alone, with long tasks on every machine',
+    options: LASTING,
+    jobs: [LONG, LONG, LONG],
+    meet: async (c) => {
+      await c.until('machines of every part have work', 10, () => c.world.started >= 12);
+      const busy = c.hosts().filter((h) => h.worker.tasks.size > 0);
+      const sessions = busy.map((h) => h.worker.session);
+      for (const h of c.hosts()) h.cutFrom = 'n0';
+      await c.pass(10);
+      for (const h of busy) {
+        assert.ok([...c.cloud.machines.values()].includes(h), `${h.worker.name} was returned`);
+      }
+      const after = busy.map((h) => h.worker.session);
+      assert.deepEqual(after, sessions, 'no lease ran out');
+      for (const h of c.hosts()) h.cutFrom = null;
+    },
+  },
   {
     // What hangs or is cut off may run on after the cancellation, and counts against each limit.
     name: 'every team is at its limit, jobs are cancelled whose machines are out of reach, owners change',
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -49,6 +49,8 @@
   heldMs = 0;
   /** the only node that it reaches, and that reaches it; null: all */
   only: string | null = null;
+  /** a node that its reports do not reach; nothing that is sent to it directly arrives meanwhile */
+  cutFrom: string | null = null;
   /** ms after which copies of its reports arrive once more, at any node; null: never */
   copyMs: number | null = null;
   copies = 0;
@@ -66,7 +68,8 @@
   }
 
   async #command(r: Request): Promise<Reply> {
-    if (this.losesAnswers || this.worker.hung || this.only !== null) return 'hang';
+    const cut = this.only !== null || this.cutFrom !== null;
+    if (this.losesAnswers || this.worker.hung || cut) return 'hang';
     if (this.heldMs > 0) await sleep(this.heldMs);
     const body = r.body as { Mandate: number; Tenure: number; Orders: WireOrder[] };
     this.worker.advance(Date.now());
@@ -85,6 +88,11 @@
     if (this.only !== null) this.at = nodes.findIndex(([name]) => name === this.only);
     this.#last = Date.now();
     this.worker.advance(Date.now());
+    if (nodes[this.at]![0] === this.cutFrom) {
+      this.at = (this.at + 1) % nodes.length;
+      this.#busy = false;
+      return;
+    }
     const report = this.worker.report();
     const sentAt = Date.now();
     const client = new CborClient(nodes[this.at]![1], 1);
