--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -4,6 +4,7 @@
 import {
   CLAIM_PAUSE_MS,
   NO_HEARTBEATS_MS,
+  NO_HEARTBEATS_REPORTS,
   HANDBACK_MS,
   HANDOVER_SETTLE_MS,
   LOOP_MS,
@@ -291,11 +292,12 @@
 
   /** Cut off from the workers alone: a node that hears them should own their part. */
   #handOverIfCutOff(index: number, part: Part, now: number): void {
-    const known = [...part.machines.values()].filter((m) => m.everKnown && !m.returning);
-    if (known.length === 0 || known.some((m) => now - m.lastHeartbeatAt < NO_HEARTBEATS_MS)) return;
+    const reportMs = this.config.workers.reportS * 1000;
+    if (!part.hearsNobody(now, Math.min(NO_HEARTBEATS_MS, reportMs * NO_HEARTBEATS_REPORTS)))
+      return;
     const to = this.peers.hears(index);
     const incarnation = to === null ? null : this.peers.fit(to);
-    if (to === null || incarnation === null) return;
+    if (to === null || to === this.config.node || incarnation === null) return;
     this.#noTakeoverUntil = now + HANDBACK_MS * 2;
     this.log.info({ part: index, to }, 'no worker of the part reports here, but they do elsewhere');
     void this.#give(index, to, incarnation);
