--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -1,12 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import {
-  isUrgent,
-  planCapacity,
-  wantedMachines,
-  type CapacityInput,
-} from '../src/core/capacity.js';
+import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
 import { Learning } from '../src/core/learning.js';
+import { isUrgent, wantedMachines } from '../src/core/wanted-machines.js';
 import { job, machine, machineType, partWith, spec, Store } from './helpers.js';
 import { FakeWorker, World } from './standins/worker.js';
 
--- a/test/failing-jobs.test.ts
+++ b/test/failing-jobs.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { wantedMachines, type CapacityInput } from '../src/core/capacity.js';
+import type { CapacityInput } from '../src/core/capacity.js';
 import type { Part } from '../src/core/part.js';
 import type { JobSpec, Report } from '../src/core/model.js';
+import { wantedMachines } from '../src/core/wanted-machines.js';
 import { job, machine, machineType, partWith, Store } from './helpers.js';
 
 /**
