--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -46,10 +46,13 @@
 export class FailureTracker {
   constructor(private readonly state: PartState) {}
 
-  /** A task completed: whatever failed before, both its machine and its job can be well. */
+  /**
+   * A task completed: its job can be well, and its machine was. A machine that is condemned already stays
+   * so, since what completes there may have begun before it became faulty.
+   */
   succeeded(m: MachineState, job: JobState): void {
     m.failedJobs.clear();
-    this.#judge(m);
+    m.onTrial = false;
     const cleared = job.failures > 0;
     job.failures = 0;
     if (cleared) this.#judgeMachinesThatFailed(job);
@@ -97,5 +100,7 @@
     const all = m.failedJobs.size;
     m.onTrial = credible > 0 || all >= SUSPECT_FAILURES;
     m.condemned = credible >= SICK_JOBS || all >= SICK_JOBS_SUSPECT;
+    // It was only to be emptied because it was condemned.
+    if (!m.condemned && !m.unrecorded) m.leaving = false;
   }
 }
--- a/test/failing-jobs.test.ts
+++ b/test/failing-jobs.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { CapacityInput } from '../src/core/capacity.js';
+import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
 import type { Part } from '../src/core/part.js';
 import type { JobSpec, Report } from '../src/core/model.js';
 import { wantedMachines } from '../src/core/wanted-machines.js';
@@ -111,6 +111,24 @@
   }
 }
 
+const capacityInput = (fleet: Fleet): CapacityInput => ({
+  part: fleet.part,
+  parts: 1,
+  types: new Map([['m', machineType()]]),
+  zones: ['z'],
+  objectives: [],
+  stats: new Map(),
+  elsewhere: new Map(),
+  expected: [],
+  pending: [],
+  refused: () => false,
+  reserveSigma: 0,
+  drainS: 45,
+  idleKeepMs: 1e9,
+  machinesMost: 1000,
+  now: fleet.now,
+});
+
 test('no healthy machine is condemned for faulty jobs, faulty machines are found: table', () => {
   const cases: { name: string; faulty: string[]; broken: number }[] = [
     { name: 'faulty jobs alone', faulty: [], broken: 6 },
@@ -163,22 +181,22 @@
   while (!allPaused() && fleet.now < 120_000);
   assert.ok(allPaused(), 'both pause at some time');
   assert.equal(fleet.part.waiting(0, fleet.now), 0);
-  const input: CapacityInput = {
-    part: fleet.part,
-    parts: 1,
-    types: new Map([['m', machineType()]]),
-    zones: ['z'],
-    objectives: [],
-    stats: new Map(),
-    elsewhere: new Map(),
-    expected: [],
-    pending: [],
-    refused: () => false,
-    reserveSigma: 0,
-    drainS: 45,
-    idleKeepMs: 1e9,
-    machinesMost: 1000,
-    now: fleet.now,
-  };
-  assert.deepEqual(wantedMachines(input).get('m'), { ordinary: 0, spot: 0, instead: 0 });
+  const wanted = wantedMachines(capacityInput(fleet));
+  assert.deepEqual(wanted.get('m'), { ordinary: 0, spot: 0, instead: 0 });
+});
+
+test('a machine in use that was condemned for jobs that turn out faulty is used again', () => {
+  const faulty = new Set(['job-90', 'job-91']);
+  const fleet = new Fleet(1, new Set(), faulty);
+  fleet.submit({ uid: 'job-10', demand: { cpus: 1, gpus: 0, memoryGb: 1 } });
+  fleet.run(2000);
+  for (const uid of faulty) fleet.submit({ uid, demand: { cpus: 1, gpus: 0, memoryGb: 1 } });
+  fleet.run(12_000);
+  const m = fleet.part.machines.get('m000')!;
+  planCapacity(capacityInput(fleet));
+  assert.ok(m.condemned && m.leaving, 'two jobs failed there, and there is no other machine yet');
+  for (let i = 1; i < 4; i++) fleet.store.add(machine(`m00${i}`));
+  fleet.part.sync(fleet.store, fleet.now);
+  fleet.run(25_000);
+  assert.ok(!m.condemned && !m.leaving, 'they fail elsewhere, too');
 });
