--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -22,7 +22,7 @@
   sentAt: number | null;
 }
 
-/** The teller's side: every cancellation known here is repeated until every other node has it. */
+/** The broadcasting side: every cancellation known here is repeated until every other node has it. */
 export class CancellationBroadcast {
   readonly #open = new Map<string, Told>();
   readonly #acknowledged = new Map<string, number>();
@@ -83,7 +83,7 @@
   before: number;
 }
 
-/** The hearer's side: up to when every cancellation confirmed by any node is known here. */
+/** The receiving side: up to when every cancellation confirmed by any node is known here. */
 export class CancellationReceiver {
   readonly #of = new Map<string, Coverage>();
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -56,7 +56,7 @@
 export const hasGuarantee = (team: Team | undefined): boolean =>
   team !== undefined && (team.cpus > 0 || team.gpus > 0);
 
-/** Gangs, jobs that look at zones and teams with a limit or guarantee need one book-keeper. */
+/** Gangs, jobs that look at zones and teams with a limit or guarantee need one owner that counts for all. */
 export const staysWhole = (spec: JobSpec, team: Team | undefined): boolean =>
   spec.kind === 'gang' || spec.oneZone || spec.spread || hasLimit(team) || hasGuarantee(team);
 
--- /dev/null
+++ b/src/parts/direct-commands.ts
@@ -0,0 +1,79 @@
+import { CLAIM_PAUSE_MS } from '../constants.js';
+import type { Command } from '../core/model.js';
+import type { MachineState, Part, Placement } from '../core/part.js';
+import { sendDirect } from '../workers/heartbeats.js';
+import type { Owned } from './part-controller.js';
+
+/** times that a worker of a session that we did not know is tried */
+const TRIES = 2;
+
+/**
+ * Commands that should not wait for a worker's next report: stops, starts, and the news of our term. Each has
+ * a socket of its own while it is under way, so there are only so many at a time; the rest is told in the
+ * next round, or by the answer to the worker's report.
+ */
+export class DirectCommands {
+  #underWay = 0;
+
+  constructor(
+    private readonly most: number,
+    private readonly isOwned: (part: Part) => boolean,
+    private readonly now: () => number,
+  ) {}
+
+  /** Stopping under our own term can only be safe, whatever we know: it needs no authority. */
+  stops({ part }: Owned, now: number): void {
+    const room = this.most - this.#underWay;
+    for (const { machine, commands } of part.directCommands(now, room, false)) {
+      void this.#send(part, machine, commands);
+    }
+  }
+
+  /** Starts and stops, and the news of our term to workers that may not know it. */
+  tick(owned: Owned, now: number): void {
+    const { part } = owned;
+    const room = this.most - this.#underWay;
+    for (const { machine, commands, starts } of part.directCommands(now, room, true)) {
+      void this.#send(part, machine, commands, starts);
+    }
+    this.#claim(owned);
+  }
+
+  #claim({ part, claiming }: Owned): void {
+    for (const m of part.machinesToProbe()) {
+      const { name } = m.record;
+      if (this.#underWay >= this.most) return;
+      if (m.address === null || claiming.has(name)) continue;
+      claiming.add(name);
+      void this.#send(part, m, []).finally(() => {
+        setTimeout(() => claiming.delete(name), CLAIM_PAUSE_MS);
+      });
+    }
+  }
+
+  async #send(
+    part: Part,
+    m: MachineState,
+    commands: readonly Command[],
+    starts: readonly Placement[] = [],
+  ): Promise<void> {
+    for (let tries = 0; tries < TRIES; tries++) {
+      const session = Math.max(1, m.session);
+      this.#underWay += 1;
+      const sent = await sendDirect(m.address!, part.term, session, commands).finally(() => {
+        this.#underWay -= 1;
+      });
+      if (sent.kind === 'in_doubt' || !this.isOwned(part)) return;
+      if (sent.kind === 'not_sent') {
+        part.directSettled(starts, false);
+        return;
+      }
+      part.inspected(sent.report, this.now());
+      part.directSettled(starts, sent.executed);
+      if (sent.executed || starts.length > 0) return;
+      // 409 by a session that we did not know; its report has told us now.
+      if (sent.report.session === session || sent.report.token > part.term) return;
+      m.session = Math.max(m.session, sent.report.session);
+    }
+  }
+}
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -2,7 +2,6 @@
 import type { PlatformConfig } from '../config/platform.js';
 import type { OperatorConfig } from '../config/operator.js';
 import {
-  CLAIM_PAUSE_MS,
   NO_HEARTBEATS_MS,
   NO_HEARTBEATS_REPORTS,
   HANDBACK_MS,
@@ -10,10 +9,11 @@
   LOOP_MS,
 } from '../constants.js';
 import { Completions } from './completions.js';
+import { DirectCommands } from './direct-commands.js';
 import { renewableMs } from '../core/cancellations.js';
-import type { Command, JobSpec, MachineType, Report } from '../core/model.js';
+import type { JobSpec, MachineType, Report } from '../core/model.js';
 import { Ownership, type OwnershipView } from '../core/ownership.js';
-import { Part, type PartSettings, type MachineState, type Placement } from '../core/part.js';
+import { Part, type PartSettings } from '../core/part.js';
 import { MachineRecords } from './machine-records.js';
 import { TaskTransfer } from './task-transfer.js';
 import { shareSockets } from '../sockets.js';
@@ -22,7 +22,7 @@
 import type { NodeLease } from '../state/lease.js';
 import type { WatchCache } from '../state/watch-cache.js';
 import type { Condition, Write } from '../wire/schemas.js';
-import { sendDirect, type HeartbeatReply } from '../workers/heartbeats.js';
+import type { HeartbeatReply } from '../workers/heartbeats.js';
 
 export interface Owned {
   readonly part: Part;
@@ -73,9 +73,7 @@
   /** since when worker leases are left to run out, steady ms */
   #lettingGoSince: number | null = null;
   #lastOwn = -Infinity;
-  /** direct commands under way, and how many there may be: each has a socket */
-  #directs = 0;
-  readonly #directMost: number;
+  readonly #direct: DirectCommands;
   readonly machines: MachineRecords;
   readonly #completions: Completions;
   readonly #transferring: TaskTransfer;
@@ -96,7 +94,12 @@
     private readonly nowOfDay: () => number,
     private readonly log: Logger,
   ) {
-    this.#directMost = shareSockets(config.sockets, config.peers.length).direct;
+    const { direct } = shareSockets(config.sockets, config.peers.length);
+    this.#direct = new DirectCommands(
+      direct,
+      (part) => this.owned.get(part.index)?.part === part,
+      now,
+    );
     this.machines = new MachineRecords(config, client, cache, current, now, log);
     this.#completions = new Completions(config, client, cache, now, log);
     this.#transferring = new TaskTransfer(
@@ -179,11 +182,11 @@
       if (owned.suspended) continue;
       part.age(now);
       if (!authority) {
-        this.#directStops(owned, now);
+        this.#direct.stops(owned, now);
         continue;
       }
       part.placeAll(now);
-      this.#direct(owned, now);
+      this.#direct.tick(owned, now);
       void this.machines.tick(index, owned, now);
       this.#transferring.transferStuck(index, owned, now);
       void this.#completions.save(index, owned, now);
@@ -428,56 +431,4 @@
     if (me || !alive) return { kind: 'unavailable' };
     return { kind: 'redirect', node: owner.owner };
   }
-
-  /** Stopping under our own term can only be safe, whatever we know: it needs no authority. */
-  #directStops({ part }: Owned, now: number): void {
-    const most = this.#directMost - this.#directs;
-    for (const { machine, commands } of part.directCommands(now, most, false)) {
-      void this.#command(part, machine, commands);
-    }
-  }
-
-  /** Stops, and the news of our term, without waiting for the next report. */
-  #direct(owned: Owned, now: number): void {
-    const { part } = owned;
-    const room = () => this.#directMost - this.#directs;
-    for (const { machine, commands, starts } of part.directCommands(now, room(), true)) {
-      void this.#command(part, machine, commands, starts);
-    }
-    for (const m of part.machinesToProbe()) {
-      // The rest is told in the next round, or by the answer to its own report.
-      if (room() <= 0) break;
-      if (m.address === null || owned.claiming.has(m.record.name)) continue;
-      owned.claiming.add(m.record.name);
-      void this.#command(part, m, []).finally(() => {
-        setTimeout(() => owned.claiming.delete(m.record.name), CLAIM_PAUSE_MS);
-      });
-    }
-  }
-
-  async #command(
-    part: Part,
-    m: MachineState,
-    commands: readonly Command[],
-    starts: readonly Placement[] = [],
-  ): Promise<void> {
-    for (let tries = 0; tries < 2; tries++) {
-      const session = Math.max(1, m.session);
-      this.#directs += 1;
-      const sent = await sendDirect(m.address!, part.term, session, commands).finally(() => {
-        this.#directs -= 1;
-      });
-      if (sent.kind === 'in_doubt' || this.owned.get(part.index)?.part !== part) return;
-      if (sent.kind === 'not_sent') {
-        part.directSettled(starts, false);
-        return;
-      }
-      part.inspected(sent.report, this.now());
-      part.directSettled(starts, sent.executed);
-      if (sent.executed || starts.length > 0) return;
-      // 409 by a session that we did not know; its report has told us now.
-      if (sent.report.session === session || sent.report.token > part.term) return;
-      m.session = Math.max(m.session, sent.report.session);
-    }
-  }
 }
--- a/test/cancellation-outage.test.ts
+++ b/test/cancellation-outage.test.ts
@@ -4,7 +4,7 @@
 import { Cluster } from './standins/cluster.js';
 
 /**
- * The gap: the state service refuses one owner alone, another controller confirms cancellations, then
+ * The state service refuses one owner alone, another controller confirms cancellations, then
  * the service is out for all for longer than a cancellation may take, while the workers go on reporting
  * to the owner that knows nothing of it. Without word between controllers, or leases that end, the
  * tasks run on to their end.
--- a/test/cancellations.test.ts
+++ b/test/cancellations.test.ts
@@ -31,7 +31,7 @@
   assert.deepEqual(uids(t, 60 + 2 * CANCEL_MS + 1), [], 'whoever has not heard has let go');
 });
 
-test('a teller that had to leave one out says so for as long as it matters', () => {
+test('a broadcaster that had to leave one out says so for as long as it matters', () => {
   const t = new CancellationBroadcast(['b'], CANCEL_MS);
   for (let n = 0; n < TOLD_MOST; n++) t.learned(cancellation(n), 0);
   assert.equal(t.complete(0), true);
--- a/test/combined-faults.test.ts
+++ b/test/combined-faults.test.ts
@@ -7,7 +7,7 @@
  * Troubles that meet, each on three whole controllers with stand-ins round them. Whatever meets, the
  * rules hold: no task on two machines, limits and places kept, cancelled tasks gone in time, nobody told
  * anything older; and once it is over everything accepted and not cancelled is done, at every node.
- * A row says what goes wrong without what guards against it. The gap has a file of its own.
+ * A row says what goes wrong without what guards against it. A refusal followed by an outage is in cancellation-outage.test.ts.
  */
 const LEASE_S = 4;
 const CANCEL_S = 10;
--- a/test/part-controller.test.ts
+++ b/test/part-controller.test.ts
@@ -31,7 +31,7 @@
 
 const X_UP = new Map([['x', true]]);
 
-/** A keeper that owns part 1, which belongs to a node that is back, and whose calls can be made to fail. */
+/** A part controller that owns part 1, which belongs to a node that is back, and whose calls can be made to fail. */
 const scene = () => {
   const cache = new WatchCache();
   const world = {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -158,7 +158,7 @@
   assert.deepEqual(world.broken, []);
 });
 
-test('a new owner takes running tasks into its books instead of starting them again', () => {
+test('a new owner takes running tasks into its state instead of starting them again', () => {
   const store = new Store().add(machine('a'), machine('b'), job());
   const old = partWith(store, 1);
   const [a, b] = workers(['a', 'b']);
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -157,7 +157,7 @@
   assert.ok(plan(s.part, now + 3 * REPORT_MS).giveBack.some((g) => g.name === busy));
 });
 
-test('a new owner takes running replicas into its books and stops none', () => {
+test('a new owner takes running replicas into its state and stops none', () => {
   const s = scene(['a', 'b'], { tasks: 3 });
   s.run(0, 3 * REPORT_MS);
   const { started } = s.world;
