--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { BOOT_GIVE_UP } from '../src/constants.js';
 import { planCapacity, type CapacityInput } from '../src/core/capacity.js';
 import { Learning } from '../src/core/learning.js';
 import { isUrgent, wantedMachines } from '../src/core/wanted-machines.js';
-import { job, machine, machineType, partWith, spec, Store } from './helpers.js';
+import { job, LEASE_MS, machine, machineType, partWith, spec, Store } from './helpers.js';
 import { FakeWorker, World } from './standins/worker.js';
 
 const input = (store: Store, over: Partial<CapacityInput> = {}): CapacityInput => ({
@@ -131,3 +132,35 @@
   for (let n = 0; n < 40; n++) learning.ran('c', 30);
   assert.equal(learning.stats(150).get('c')?.runS, 30, 'measured times replace wrong guesses');
 });
+
+test('machines that boot late or never: nothing is rented twice for them, each is replaced in its time', () => {
+  const BOOT_MS = machineType().bootS * 1000;
+  const store = new Store().add(job({ estimateS: 400, tasks: 40, spot: false }));
+  const names = Array.from({ length: 20 }, (_, i) => `m${String(i).padStart(2, '0')}`);
+  store.add(...names.map((n) => machine(n, { up: false })));
+  const part = partWith(store);
+  const plan = (now: number, pending: CapacityInput['pending'] = []) =>
+    planCapacity(input(store, { part, now, pending }));
+  const asked = (now: number) => plan(now).rent.reduce((sum, wish) => sum + wish.count, 0);
+  for (const times of [0, 1, 1.5, 2]) {
+    assert.equal(asked(times * BOOT_MS), 0, `after ${times} times the boot time they may come`);
+  }
+  // Half of them come, late; the others never do.
+  const late = 2.1 * BOOT_MS;
+  for (const n of names.slice(0, 10)) {
+    const w = new FakeWorker(n, new World(), 1e6, LEASE_MS, late);
+    part.beat(w.report(), late, false);
+    w.direct(1, 1, []);
+    part.inspected(w.report(), late);
+  }
+  const over = (BOOT_GIVE_UP + 0.01) * BOOT_MS;
+  const { rent, giveBack } = plan(over);
+  assert.deepEqual(
+    giveBack.map((g) => `${g.name} ${g.reason}`),
+    names.slice(10).map((n) => `${n} never came up`),
+  );
+  const count = rent.reduce((sum, wish) => sum + wish.count, 0);
+  assert.equal(count, 10, 'one for each that did not come');
+  for (const { name } of giveBack) part.machines.get(name)!.returning = true;
+  assert.deepEqual(plan(over, rent).rent, [], 'not again while they are asked for');
+});
