--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -51,8 +51,10 @@
    * so, since what completes there may have begun before it became faulty.
    */
   succeeded(m: MachineState, job: JobState): void {
-    m.failedJobs.clear();
-    m.onTrial = false;
+    if (!m.condemned) {
+      m.failedJobs.clear();
+      m.onTrial = false;
+    }
     const cleared = job.failures > 0;
     job.failures = 0;
     if (cleared) this.#judgeMachinesThatFailed(job);
--- a/test/failing-jobs.test.ts
+++ b/test/failing-jobs.test.ts
@@ -185,6 +185,28 @@
   assert.deepEqual(wanted.get('m'), { ordinary: 0, spot: 0, instead: 0 });
 });
 
+test('a machine stays condemned while older tasks complete there and other ones fail: any order', () => {
+  const small = { demand: { cpus: 1, gpus: 0, memoryGb: 1 } };
+  for (let offset = 2000; offset <= 6000; offset += STEP_MS) {
+    const fleet = new Fleet(1, new Set(), new Set(['job-20', 'job-21', 'job-22']));
+    fleet.submit({ uid: 'job-10', ...small });
+    fleet.run(RUN_MS - offset);
+    for (const uid of ['job-20', 'job-21']) fleet.submit({ uid, ...small });
+    fleet.run(RUN_MS - offset + 2 * STEP_MS);
+    fleet.submit({ uid: 'job-22', ...small });
+    const m = fleet.part.machines.get('m000')!;
+    const verdicts: boolean[] = [];
+    for (let at = fleet.now + STEP_MS; at < 2 * RUN_MS; at += STEP_MS) {
+      fleet.run(at);
+      verdicts.push(m.condemned);
+    }
+    assert.equal(fleet.completed('job-10'), 1);
+    const first = verdicts.indexOf(true);
+    assert.ok(first >= 0, `found, ${offset} ms before`);
+    assert.ok(!verdicts.slice(first).includes(false), `and stays so, ${offset} ms before`);
+  }
+});
+
 test('a machine in use that was condemned for jobs that turn out faulty is used again', () => {
   const faulty = new Set(['job-90', 'job-91']);
   const fleet = new Fleet(1, new Set(), faulty);
