A closed controller ends its retries: a pass of tasks without an outcome kept test processes alive for ever

Two of three full test runs on busy machines never ended: test/combined-faults.test.js had passed all its cases, and its process went on trying to pass tasks for a controller that the case had closed. Passing to less booked parts made that likelier. The new case fails without it.

--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -138,6 +138,11 @@
     }
   }
 
+  /** Acts for no part any more; what is repeated until its outcome is known ends, too. */
+  close(): void {
+    this.owned.clear();
+  }
+
   /** Whether this node acts for the part now, under the term that `owned` stands for. */
   actsFor(owned: Owned): boolean {
     const present = this.owned.get(owned.part.index) === owned && !owned.suspended;
--- a/src/service.ts
+++ b/src/service.ts
@@ -396,6 +396,7 @@
     this.#stop.abort();
     for (const t of this.#timers) clearTimeout(t);
     if (this.#soon !== null) clearTimeout(this.#soon);
+    this.#partController.close();
     this.#lease.close();
     this.#gossip.close();
     this.#server?.close();
--- a/test/part-controller.test.ts
+++ b/test/part-controller.test.ts
@@ -340,6 +340,21 @@
   ]);
 });
 
+test('a closed controller does not go on trying to pass tasks', async () => {
+  // The retries kept the process of a test alive for ever.
+  const s = scene();
+  s.world.room = { part: 0, tasks: 2 };
+  s.partController.tick();
+  s.world.now = TRANSFER_AFTER_MS + 1;
+  s.world.outcome = () => new StateTrouble('no_answer', 'gone');
+  s.partController.tick();
+  await settle();
+  s.partController.close();
+  const before = s.world.written.length;
+  await new Promise((resolve) => setTimeout(resolve, 2 * STATE_PAUSE_MS + 200));
+  assert.ok(s.world.written.length <= before + 1, 'at most the try that was under way');
+});
+
 test('an own write shown late does not bring a cancelled job back to its part', () => {
   // The part would have started the tasks of a job whose user was told that it is cancelled
   // (docs/incidents/2026-12-02-went-back.md).
