--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 const TEST_RUNNER = { from: 'package', name: ['test', 'describe'], package: 'node:test' };
 
 export default tseslint.config(
-  { ignores: ['target/', 'node_modules/', 'journal/', 'test/fixtures/production/'] },
+  { ignores: ['**/target/', 'node_modules/', 'journal/', 'test/fixtures/production/'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
@@ -20,9 +20,12 @@
     },
   },
   {
-    files: ['src/**/*.ts', 'test/**/*.ts'],
+    files: ['src/**/*.ts', 'test/**/*.ts', 'packages/*/src/**/*.ts', 'packages/*/test/**/*.ts'],
     languageOptions: {
-      parserOptions: { project: './tsconfig.test.json', tsconfigRootDir: import.meta.dirname },
+      parserOptions: {
+        project: ['./tsconfig.test.json', './packages/*/tsconfig.json'],
+        tsconfigRootDir: import.meta.dirname,
+      },
     },
     rules: {
       '@typescript-eslint/no-floating-promises': [
@@ -34,7 +37,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     rules: {
       'max-lines': ['error', { max: MODULE_LINES_MOST, skipBlankLines: true, skipComments: true }],
     },
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -6,6 +6,7 @@
   LIST_SHARE,
   TOKEN_POLL_MS,
 } from '../constants.js';
+import type { Authorization, RecordedIntent } from '@sumacstep/duties';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MachineType } from '../core/model.js';
 import { CborClient, NoAnswer, type Answer } from '../http.js';
@@ -82,11 +83,11 @@
     method: string,
     path: string,
     body?: unknown,
-    mayAct: () => boolean = () => true,
+    authorization?: Authorization,
   ): Promise<Answer> {
     await this.#token(cls);
     // The wait may have been long, or the process may have stood still: what it was decided on is over.
-    if (!mayAct()) throw new CloudTrouble(`${method} ${path}: no authority any more`);
+    authorization?.ensureHeld();
     try {
       const answer = await this.#http.call(method, path, body, CLOUD_CALL_MS);
       if (answer.status === 429) throw new CloudTrouble(`${method} ${path}: 429`);
@@ -103,9 +104,9 @@
     return machineTypes.parse(a.body).Hosttypes;
   }
 
-  /** `mayAct` is asked at the moment of sending. */
-  async rent(request: RentRequest, mayAct: () => boolean): Promise<RentResult> {
-    const a = await this.#call(CALL.rent, 'POST', '/rentals', rentBody(request), mayAct);
+  /** Throws `NotEntitledError` if the tenure is over at the moment of sending. */
+  async rent(request: RentRequest, { authorization }: RecordedIntent): Promise<RentResult> {
+    const a = await this.#call(CALL.rent, 'POST', '/rentals', rentBody(request), authorization);
     if (a.status === 200) return { kind: 'rented', machines: rented.parse(a.body).Hosts };
     if (a.status === 400) return { kind: 'malformed', answer: JSON.stringify(a.body) };
     const error = (a.body as { error?: unknown } | null)?.error;
@@ -113,10 +114,13 @@
     throw new CloudTrouble(`rental: ${a.status} ${String(error)}`);
   }
 
-  /** When this resolves, the machines and everything on them are gone. */
-  async giveBack(machines: readonly string[], mayAct: () => boolean): Promise<void> {
+  /**
+   * When this resolves, the machines and everything on them are gone. Throws `NotEntitledError` if the tenure
+   * is over at the moment of sending.
+   */
+  async giveBack(machines: readonly string[], authorization: Authorization): Promise<void> {
     const body = returnBody(machines);
-    const a = await this.#call(CALL.giveBack, 'POST', '/rentals/return', body, mayAct);
+    const a = await this.#call(CALL.giveBack, 'POST', '/rentals/return', body, authorization);
     if (a.status !== 200) throw new CloudTrouble(`return: ${a.status}`);
   }
 
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -1,9 +1,6 @@
-import { parse } from 'ini';
 import * as z from 'zod';
-import { ConfigError, describe, readText } from './platform.js';
-
-const range = (least: number, most: number, fallback: number) =>
-  z.coerce.number().min(least).max(most).default(fallback);
+import { parseIni, range } from './ini-file.js';
+import { readText } from './platform.js';
 
 /** Every key is documented in deploy/operator.ini. */
 const schema = z
@@ -45,11 +42,7 @@
 }
 
 export const parseOperator = (file: string, text: string): OperatorConfig => {
-  // ini makes objects without a prototype; zod wants plain ones.
-  const raw: unknown = JSON.parse(JSON.stringify(parse(text)));
-  const result = schema.safeParse(raw);
-  if (!result.success) throw new ConfigError(file, describe(result.error));
-  const { placement, capacity, state, cloud } = result.data;
+  const { placement, capacity, state, cloud } = parseIni(schema, file, text);
   return {
     loadThreshold: placement.load_threshold,
     preempt: placement.preempt,
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -128,6 +128,14 @@
 export const GIVEN_AWAY_MS = 45_000;
 /** ms; a handover without an answer is settled after this: the call itself has timed out by then. */
 export const HANDOVER_SETTLE_MS = 2500;
+/** ms; a duty without a holder is left this long to each candidate before the next one tries. */
+export const DUTY_GRACE_MS = 1500;
+/** ms; between two looks at what may be cleared: nobody waits for it. */
+export const CLEAR_ROUND_MS = 10_000;
+/** ms; observed time is written this often. A holder that ends sooner has observed nothing, so not rarely. */
+export const RETENTION_WRITE_MS = 600_000;
+/** tries; an acceptance that met a clearing of final states is written anew. */
+export const ACCEPT_TRIES = 3;
 /** ms; gossip interval between nodes. */
 export const GOSSIP_MS = 1000;
 /** messages; one in so many carries what is large and changes slowly. */
--- /dev/null
+++ b/src/duties/clearing.ts
@@ -0,0 +1,212 @@
+import {
+  expiredRevision,
+  fencedTransaction,
+  NOTHING_OBSERVED,
+  observe,
+  type Authorization,
+  type Condition,
+  type RetentionRecord,
+  type Write,
+} from '@sumacstep/duties';
+import type { Logger } from 'pino';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { DutiesConfig } from '../config/duties.js';
+import { CLEAR_ROUND_MS, CLOCK_DRIFT, LIST_PAGE, RETENTION_WRITE_MS } from '../constants.js';
+import { CALL, StateTrouble, type Entry, type StateClient } from '../state/client.js';
+import { dutyEntryKey } from '../state/duty-entries.js';
+import { FINAL, key } from '../state/keys.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import { CLEAR, type DutyController } from './duty-controller.js';
+
+/** What clearing needs of the process. */
+export interface ClearingPorts {
+  readonly duties: Pick<DutyController, 'authorize'>;
+  readonly client: Pick<StateClient, 'transact' | 'list' | 'get'>;
+  readonly cache: WatchCache;
+  /** the key of this node's own life, which a lease holds for sure */
+  readonly ownNodeKey: string;
+  /** number of parts */
+  readonly parts: number;
+  /** puts and deletes of a transaction */
+  readonly transactionOps: number;
+  /** steady ms */
+  readonly now: () => number;
+  readonly log: Logger;
+}
+
+/** share of the retention time after which there is something new to clear */
+const ROUNDS_SHARE = 1 / 16;
+
+/** An entry whose absence nobody needs to notice at once. */
+type Clearable = Pick<Entry, 'key' | 'revision'>;
+
+/**
+ * The duty of clearing old state: final states that are older than their retention time, rentals of parts that
+ * do not exist any more, and node records that no lease holds.
+ *
+ * How old a final state is follows from its revision: the holder notes which revisions were reached how much
+ * observed time ago. Each transaction that clears final states also changes the acceptance key, which every
+ * acceptance names as a condition. So an acceptance from before fails, however late it is carried out.
+ */
+export class Clearing {
+  #busy = false;
+  #lastRound = -Infinity;
+  /** the tenure whose time is observed, and up to when (steady ms) */
+  #observed: { token: number; at: number } | null = null;
+  /** final states up to this revision were looked through */
+  #sweptTo = -1;
+
+  constructor(
+    private readonly config: Pick<DutiesConfig, 'finalKeepMs' | 'clearWritesPerS'>,
+    private readonly ports: ClearingPorts,
+  ) {}
+
+  /** Runs a round if one is due and this node holds the duty. */
+  tick(): void {
+    const now = this.ports.now();
+    const authorization = this.ports.duties.authorize(CLEAR);
+    if (
+      authorization === null ||
+      this.#busy ||
+      now - this.#lastRound < this.#every(CLEAR_ROUND_MS)
+    ) {
+      return;
+    }
+    this.#lastRound = now;
+    void this.#guarded(() => this.round(authorization));
+  }
+
+  /** ms; what is kept for a short time only is looked after more often. */
+  #every(usualMs: number): number {
+    return Math.min(usualMs, this.config.finalKeepMs * ROUNDS_SHARE);
+  }
+
+  async #guarded(work: () => Promise<void>): Promise<void> {
+    this.#busy = true;
+    try {
+      await work();
+    } catch (error) {
+      if (!(error instanceof StateTrouble)) throw error;
+      this.ports.log.debug({ error: error.message }, 'old state not cleared');
+    } finally {
+      this.#busy = false;
+    }
+  }
+
+  /** Notes the time that has passed, and clears what is due. */
+  async round(authorization: Authorization): Promise<void> {
+    const retention = await this.#observeTime(authorization);
+    if (retention === null) return;
+    const expired = expiredRevision(retention, this.config.finalKeepMs);
+    if (expired !== null && expired > this.#sweptTo) {
+      const cleared = await this.#clearFinals(authorization, expired);
+      if (!authorization.holds()) return;
+      this.#sweptTo = expired;
+      if (cleared > 0) this.ports.log.info({ cleared, expired }, 'final states cleared');
+    }
+    await this.#clearHires(authorization);
+    await this.#clearNodes(authorization);
+  }
+
+  // --- time --------------------------------------------------------------------------------------
+
+  /** Writes the observed time now and then; null while that is not due, or if the tenure is over. */
+  async #observeTime(authorization: Authorization): Promise<RetentionRecord | null> {
+    const now = this.ports.now();
+    const { token } = authorization;
+    if (this.#observed?.token !== token) {
+      this.#observed = { token, at: now };
+      this.#sweptTo = -1;
+    }
+    const passedMs = now - this.#observed.at;
+    const stored = this.ports.cache.tables['duties/'].get('retention');
+    const old = stored?.value.kind === 'retention' ? stored.value.retention : NOTHING_OBSERVED;
+    if (stored !== undefined && passedMs < this.#every(RETENTION_WRITE_MS)) return null;
+    const options = { keepMs: this.config.finalKeepMs, clockDrift: CLOCK_DRIFT };
+    const value = observe(old, passedMs, this.ports.cache.epoch, options);
+    const writes = [{ put: dutyEntryKey.retention, value }];
+    const when = [{ key: dutyEntryKey.retention, revision: stored?.revision ?? 0 }];
+    if (!(await this.#transact(authorization, when, writes))) return null;
+    this.#observed = { token, at: now };
+    return value;
+  }
+
+  async #transact(
+    authorization: Authorization,
+    when: readonly Condition[],
+    writes: readonly Write[],
+  ): Promise<boolean> {
+    const { client, cache } = this.ports;
+    const outcome = await fencedTransaction(client, authorization, CALL.rest, when, writes);
+    if (outcome.ok) cache.applyOwn(writes, outcome.epoch);
+    return outcome.ok;
+  }
+
+  // --- what is cleared ---------------------------------------------------------------------------
+
+  /** Returns how many final states went. */
+  async #clearFinals(authorization: Authorization, expired: number): Promise<number> {
+    // One write of each transaction goes to the acceptance key.
+    const most = Math.max(1, this.ports.transactionOps - 1);
+    let cleared = 0;
+    for (let since: string | null = null; ;) {
+      const page = await this.ports.client.list(FINAL, since, LIST_PAGE, CALL.rest);
+      const old = page.entries.filter((entry) => entry.revision <= expired);
+      for (let at = 0; at < old.length; at += most) {
+        if (!authorization.holds()) return cleared;
+        const batch = old.slice(at, at + most);
+        if (await this.#dropFinals(authorization, batch)) cleared += batch.length;
+        await sleep(((batch.length + 1) * 1000) / this.config.clearWritesPerS);
+      }
+      const last = page.entries.at(-1);
+      if (!page.more || last === undefined) return cleared;
+      since = last.key;
+    }
+  }
+
+  #dropFinals(authorization: Authorization, batch: readonly Clearable[]): Promise<boolean> {
+    const when = batch.map(({ key: name, revision }) => ({ key: name, revision }));
+    const drops: Write[] = batch.map(({ key: name }) => ({ drop: name }));
+    const acceptance = { put: dutyEntryKey.acceptance, value: { token: authorization.token } };
+    return this.#transact(authorization, when, [...drops, acceptance]);
+  }
+
+  /** Rentals of parts that no setting names and nobody owns. Machines that they got are reclaimed. */
+  async #clearHires(authorization: Authorization): Promise<void> {
+    const { tables } = this.ports.cache;
+    for (const { value: hire, revision } of tables['hires/'].values()) {
+      if (hire.part < this.ports.parts || this.#ownerLives(hire.part)) continue;
+      const name = key.hire(hire.part, hire.name);
+      if (!(await this.#drop(authorization, { key: name, revision }))) return;
+      this.ports.log.info({ part: hire.part, hire: hire.name }, 'rental of no part cleared');
+    }
+  }
+
+  #ownerLives(part: number): boolean {
+    const { tables } = this.ports.cache;
+    const owner = tables['parts/'].get(String(part))?.value;
+    return owner !== undefined && tables['nodes/'].has(`${owner.owner}/${owner.incarnation}`);
+  }
+
+  /**
+   * Records of nodes that no lease holds, and that would keep their parts from everybody. Only if the state service
+   * tells leases at all: our own record is held by one for sure.
+   */
+  async #clearNodes(authorization: Authorization): Promise<void> {
+    const { client, cache, ownNodeKey, log } = this.ports;
+    const own = await client.get(ownNodeKey, CALL.rest);
+    if ('missing' in own || (own.lease ?? null) === null) return;
+    for (const { value } of cache.tables['nodes/'].values()) {
+      const name = key.node(value.node, value.incarnation);
+      if (name === ownNodeKey) continue;
+      const found = await client.get(name, CALL.rest);
+      if ('missing' in found || (found.lease ?? null) !== null) continue;
+      if (!(await this.#drop(authorization, found))) return;
+      log.info({ node: value.node, incarnation: value.incarnation }, 'node record cleared');
+    }
+  }
+
+  #drop(authorization: Authorization, { key: name, revision }: Clearable): Promise<boolean> {
+    return this.#transact(authorization, [{ key: name, revision }], [{ drop: name }]);
+  }
+}
--- /dev/null
+++ b/src/duties/duties.ts
@@ -0,0 +1,81 @@
+import type { Refusals } from '@sumacstep/duties';
+import type { Logger } from 'pino';
+import type { CloudClient } from '../cloud/client.js';
+import type { DutiesConfig } from '../config/duties.js';
+import type { PlatformConfig } from '../config/platform.js';
+import type { Reclaimer } from '../parts/unrecorded-machines.js';
+import type { StateClient } from '../state/client.js';
+import { dutyEntryKey } from '../state/duty-entries.js';
+import { key } from '../state/keys.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { Condition } from '../wire/schemas.js';
+import { Clearing } from './clearing.js';
+import { DutyController } from './duty-controller.js';
+import { Reclaiming } from './reclaiming.js';
+import { ReturnIntents } from './return-intents.js';
+
+/** What the duties need of the process. */
+export interface DutiesPorts {
+  readonly client: StateClient;
+  readonly cloud: CloudClient;
+  readonly cache: WatchCache;
+  /** whether this node provably owns what the cache shows as its own */
+  readonly authority: () => boolean;
+  /** resolves once the cache shows everything that was committed before the call */
+  readonly current: () => Promise<unknown>;
+  readonly refusals: Refusals;
+  /** steady ms */
+  readonly now: () => number;
+  readonly timeOfDay: () => number;
+  readonly log: Logger;
+}
+
+type Platform = Pick<PlatformConfig, 'node' | 'nodes' | 'stateLimits'>;
+
+/** The exclusive duties as they are switched on, put together. */
+export class Duties {
+  readonly #controller: DutyController;
+  readonly #clearing: Clearing;
+  readonly #cache: WatchCache;
+  /** records returns of parts; null if that is switched off */
+  readonly partReturns: ReturnIntents | null;
+  /** returns machines that no record knows; null if that is switched off */
+  readonly reclaimer: Reclaimer | null;
+
+  constructor(platform: Platform, config: DutiesConfig, incarnation: string, ports: DutiesPorts) {
+    const { client, cache } = ports;
+    const { valueBytes, transactionOps } = platform.stateLimits;
+    this.#cache = cache;
+    this.#controller = new DutyController({ node: platform.node, incarnation }, config, ports);
+    const duties = this.#controller;
+    const intents = new ReturnIntents(client, cache, valueBytes);
+    this.partReturns = config.recordReturns ? intents : null;
+    const reclaiming = new Reclaiming(transactionOps, { ...ports, duties, intents });
+    this.reclaimer = config.reclaim ? { reclaiming, intents } : null;
+    this.#clearing = new Clearing(config, {
+      ...ports,
+      duties,
+      ownNodeKey: key.node(platform.node, incarnation),
+      parts: platform.nodes,
+      transactionOps,
+    });
+  }
+
+  /** One round of the duties' loops. */
+  tick(): void {
+    this.#controller.tick();
+    this.#clearing.tick();
+  }
+
+  /** The token of a duty's present tenure as it is known here; null if it never had one. */
+  tokenOf(duty: string): number | null {
+    return this.#controller.view().records.get(duty)?.value.token ?? null;
+  }
+
+  /** What acceptances depend on: it changes whenever final states are cleared. */
+  acceptanceCondition(): Condition {
+    const name = dutyEntryKey.acceptance;
+    const known = this.#cache.tables['duties/'].get(name.slice('duties/'.length));
+    return { key: name, revision: known?.revision ?? 0 };
+  }
+}
--- /dev/null
+++ b/src/duties/duty-controller.ts
@@ -0,0 +1,122 @@
+import {
+  allKnowDuties,
+  DutyManager,
+  type Authorization,
+  type DutyRecord,
+  type DutyView,
+  type HandOverRequest,
+  type LivingMember,
+  type Member,
+  type Refusals,
+  type TransactionalStore,
+  type Urgency,
+  type Versioned,
+} from '@sumacstep/duties';
+import type { Logger } from 'pino';
+import type { DutiesConfig } from '../config/duties.js';
+import { DUTY_GRACE_MS } from '../constants.js';
+import { CALL, type CallClass, type StateClient } from '../state/client.js';
+import { key, type Decoded } from '../state/keys.js';
+import type { Cached, WatchCache } from '../state/watch-cache.js';
+
+/** Returning machines that no record knows. */
+export const RECLAIM = 'reclaim';
+/** Clearing old state. */
+export const CLEAR = 'clear';
+/** All duties that exist, whether switched on or not. */
+export const DUTY_NAMES: readonly string[] = [RECLAIM, CLEAR];
+
+const CALL_OF: Readonly<Record<Urgency, CallClass>> = {
+  lease: CALL.renew,
+  normal: CALL.completion,
+  background: CALL.rest,
+};
+
+type Tables = Pick<WatchCache['tables'], 'nodes/' | 'duties/'>;
+
+const livingMembers = (nodes: ReadonlyMap<string, Cached<Decoded['nodes/']>>): LivingMember[] =>
+  [...nodes.values()].map(({ value, revision }) => ({ ...value, revision }));
+
+/** Members, duties and requests as the tables show them. */
+export const dutyView = (tables: Tables): DutyView => {
+  const records = new Map<string, Versioned<DutyRecord>>();
+  const requests = new Map<string, Versioned<HandOverRequest>>();
+  for (const { value: entry, revision } of tables['duties/'].values()) {
+    if (entry.kind === 'record') records.set(entry.duty, { value: entry.record, revision });
+    else if (entry.kind === 'request') requests.set(entry.duty, { value: entry.request, revision });
+  }
+  return { members: livingMembers(tables['nodes/']), records, requests };
+};
+
+/** What the duty controller needs of the process. */
+export interface DutyControllerPorts {
+  readonly client: Pick<StateClient, 'transact'>;
+  readonly cache: WatchCache;
+  /** whether this node provably owns what the cache shows as its own */
+  readonly authority: () => boolean;
+  readonly refusals: Refusals;
+  /** steady ms */
+  readonly now: () => number;
+  readonly timeOfDay: () => number;
+  readonly log: Logger;
+}
+
+/** The exclusive duties of this node: the package's manager on the state service and the watch cache. */
+export class DutyController {
+  readonly #manager: DutyManager;
+  readonly #cache: WatchCache;
+  #view: DutyView | null = null;
+  #viewVersion = -1;
+
+  constructor(me: Member, config: DutiesConfig, ports: DutyControllerPorts) {
+    const { client, cache, authority, refusals, now, timeOfDay, log } = ports;
+    this.#cache = cache;
+    const duties = [...(config.reclaim ? [RECLAIM] : []), ...(config.clear ? [CLEAR] : [])];
+    const store: TransactionalStore = {
+      transact: (urgency, when, writes) => client.transact(CALL_OF[urgency], when, writes),
+    };
+    this.#manager = new DutyManager(
+      {
+        me,
+        duties,
+        graceMs: DUTY_GRACE_MS,
+        memberKey: ({ node, incarnation }) => key.node(node, incarnation),
+      },
+      {
+        store,
+        view: () => this.view(),
+        authority,
+        committed: (writes, epoch) => cache.applyOwn(writes, epoch),
+        now,
+        timeOfDay,
+        refusals,
+        log,
+      },
+    );
+  }
+
+  /** Members, duties and requests as they are known here. */
+  view(): DutyView {
+    const { version, tables } = this.#cache;
+    if (this.#view === null || version !== this.#viewVersion) {
+      this.#view = dutyView(tables);
+      this.#viewVersion = version;
+    }
+    return this.#view;
+  }
+
+  /** Whether all living nodes have the duties, so that they are carried out. */
+  get begun(): boolean {
+    return allKnowDuties(this.view());
+  }
+
+  /** One round of acquiring, handing over and releasing. */
+  tick(): void {
+    this.#manager.tick();
+  }
+
+  /** The right to act for a duty; null while this node does not provably hold it. */
+  authorize(duty: string): Authorization | null {
+    return this.#manager.authorize(duty);
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
+import { loadDuties } from './config/duties.js';
 import { loadOperator } from './config/operator.js';
 import { ConfigError, loadPlatform } from './config/platform.js';
 import { openLog } from './log.js';
@@ -11,6 +12,7 @@
 interface Options {
   readonly config: string;
   readonly operator?: string;
+  readonly duties?: string;
 }
 
 const version = (): string => {
@@ -33,8 +35,9 @@
   const problems: string[] = [];
   const platform = attempt(problems, () => loadPlatform(options.config));
   const operator = attempt(problems, () => loadOperator(options.operator));
+  const duties = attempt(problems, () => loadDuties(options.duties));
   const log = attempt(problems, () => openLog(process.env['LOG_LEVEL'], platform?.node ?? ''));
-  return { platform, operator, log, problems };
+  return { platform, operator, duties, log, problems };
 };
 
 const complain = (problems: readonly string[]): never => {
@@ -43,8 +46,10 @@
 };
 
 const serve = async (options: Options): Promise<void> => {
-  const { platform, operator, log, problems } = load(options);
-  if (platform === null || operator === null || log === null) return complain(problems);
+  const { platform, operator, duties, log, problems } = load(options);
+  if (problems.length > 0 || platform === null || operator === null || log === null) {
+    return complain(problems);
+  }
   // An error that nobody handles leaves the state unknown: say so and end.
   const fatal = (error: unknown) => {
     log.error({ err: error }, 'unhandled error');
@@ -52,7 +57,7 @@
   };
   process.on('uncaughtException', fatal);
   process.on('unhandledRejection', fatal);
-  await new Service(platform, operator, log).start();
+  await new Service(platform, operator, log, duties).start();
 };
 
 const check = (options: Options): void => {
@@ -68,7 +73,8 @@
 const withFiles = (command: Command): Command =>
   command
     .requiredOption('--config <file>', 'settings of the platform (TOML)')
-    .option('--operator <file>', "the operator's own settings (INI)");
+    .option('--operator <file>', "the operator's own settings (INI)")
+    .option('--duties <file>', 'switches exclusive duties on, by their settings (INI)');
 
 withFiles(program.command('serve').description('run one controller')).action(serve);
 withFiles(program.command('check').description('check the settings and name every problem')).action(
--- a/src/parts/completions.ts
+++ b/src/parts/completions.ts
@@ -1,3 +1,4 @@
+import { fencedTransaction } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
 import { BATCH_BYTES, PROGRESS_MS, RANGE_MOST, SAVE_MS, SLOT_FILL } from '../constants.js';
@@ -45,8 +46,14 @@
     if (batch.writes.length === 0) return;
     owned.saving = true;
     try {
-      const when = [{ key: key.part(index), revision: owned.revision }, ...batch.when];
-      const result = await this.client.transact(CALL.completion, when, batch.writes);
+      const { when, writes } = batch;
+      const result = await fencedTransaction(
+        this.client,
+        owned.authorization,
+        CALL.completion,
+        when,
+        writes,
+      );
       if (result.ok) {
         for (const { uid, indexes } of batch.saved) owned.part.saved(uid, indexes);
         for (const uid of batch.finished) this.log.info({ job: uid, part: index }, 'job done');
--- a/src/parts/direct-commands.ts
+++ b/src/parts/direct-commands.ts
@@ -22,10 +22,11 @@
   ) {}
 
   /** Stopping under our own term can only be safe, whatever we know: it needs no authority. */
-  stops({ part }: Owned, now: number): void {
+  stops(owned: Owned, now: number): void {
+    const { part } = owned;
     const room = this.most - this.#underWay;
     for (const { machine, commands } of part.directCommands(now, room, false)) {
-      void this.#send(part, machine, commands);
+      void this.#send(owned, machine, commands);
     }
   }
 
@@ -34,25 +35,26 @@
     const { part } = owned;
     const room = this.most - this.#underWay;
     for (const { machine, commands, starts } of part.directCommands(now, room, true)) {
-      void this.#send(part, machine, commands, starts);
+      void this.#send(owned, machine, commands, starts);
     }
     this.#claim(owned);
   }
 
-  #claim({ part, claiming }: Owned): void {
+  #claim(owned: Owned): void {
+    const { part, claiming } = owned;
     for (const m of part.machinesToProbe()) {
       const { name } = m.record;
       if (this.#underWay >= this.most) return;
       if (m.address === null || claiming.has(name)) continue;
       claiming.add(name);
-      void this.#send(part, m, []).finally(() => {
+      void this.#send(owned, m, []).finally(() => {
         setTimeout(() => claiming.delete(name), CLAIM_PAUSE_MS);
       });
     }
   }
 
   async #send(
-    part: Part,
+    { part, authorization }: Owned,
     m: MachineState,
     commands: readonly Command[],
     starts: readonly Placement[] = [],
@@ -63,6 +65,10 @@
       const sent = await sendDirect(m.address!, part.term, session, commands).finally(() => {
         this.#underWay -= 1;
       });
+      if (sent.kind !== 'not_sent' && sent.kind !== 'in_doubt' && !sent.executed) {
+        const { token } = sent.report;
+        if (token > part.term) authorization.refused('machine', token);
+      }
       if (sent.kind === 'in_doubt' || !this.isOwned(part)) return;
       if (sent.kind === 'not_sent') {
         part.directSettled(starts, false);
--- a/src/parts/machine-records.ts
+++ b/src/parts/machine-records.ts
@@ -1,3 +1,4 @@
+import { fencedTransaction } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
 import { MACHINES_MS, RETURNED_KEPT } from '../constants.js';
@@ -54,13 +55,13 @@
     const changed = this.#changes(index, up);
     if (changed.size === 0) return;
     const writes: Write[] = [];
-    const when: Condition[] = [{ key: key.part(index), revision: owned.revision }];
+    const when: Condition[] = [];
     for (const [id, { revision, group }] of changed) {
       when.push({ key: key.machines(id), revision });
       if (group.hosts.size === 0) writes.push({ drop: key.machines(id) });
       else writes.push({ put: key.machines(id), value: encodeGroup(group) });
     }
-    const done = await this.#write(index, up.length > 0, when, writes);
+    const done = await this.#write(index, owned, up.length > 0, when, writes);
     if (!done) return;
     const written = new Set([...changed.values()].flatMap(({ group }) => [...group.hosts.keys()]));
     for (const m of up) {
@@ -102,6 +103,7 @@
 
   async #write(
     index: number,
+    { authorization }: Owned,
     urgent: boolean,
     when: readonly Condition[],
     writes: readonly Write[],
@@ -109,7 +111,7 @@
     this.#busy.add(index);
     try {
       const cls = urgent ? CALL.completion : CALL.rest;
-      const result = await this.client.transact(cls, when, writes);
+      const result = await fencedTransaction(this.client, authorization, cls, when, writes);
       if (result.ok) this.cache.applyOwn(writes, result.epoch);
       return result.ok;
     } catch (error) {
@@ -129,13 +131,20 @@
     const hosts = new Map(fresh.map((n) => [n, false]));
     const group: MachineGroup = { part, era: owned.part.term, type, zone, spot, hosts };
     const writes: Write[] = [{ drop: key.hire(part, hire.name) }];
-    const when: Condition[] = [{ key: key.part(part), revision: owned.revision }];
+    const when: Condition[] = [];
     if (hosts.size > 0) {
       writes.push({ put: key.machines(hire.name), value: encodeGroup(group) });
       when.push({ key: key.machines(hire.name), revision: 0 });
       when.push({ key: key.hire(part, hire.name), revision: this.#hireRevision(part, hire.name) });
     }
-    const result = await this.client.transact(CALL.completion, when, writes);
+    const { authorization } = owned;
+    const result = await fencedTransaction(
+      this.client,
+      authorization,
+      CALL.completion,
+      when,
+      writes,
+    );
     if (result.ok) this.cache.applyOwn(writes, result.epoch);
   }
 
@@ -156,18 +165,21 @@
    * (docs/incidents/2026-12-02-two-records.md). Every hire is recorded before its call, so once a current
    * cache shows neither a hire of the machine's kind nor the machine, none can record it any more.
    */
-  async adopt(owned: Owned, machine: Omit<MachineGroup, 'era' | 'hosts'>, name: string) {
+  async adopt(
+    owned: Owned,
+    machine: Omit<MachineGroup, 'era' | 'hosts'>,
+    name: string,
+    conditions: readonly Condition[] = [],
+  ): Promise<void> {
     await this.current();
     if (this.cache.machines.has(name) || this.#hirePending(machine)) return;
     const hosts = new Map([[name, false]]);
     const group: MachineGroup = { ...machine, era: owned.part.term, hosts };
-    const id = `found-${name}`;
-    const writes: Write[] = [{ put: key.machines(id), value: encodeGroup(group) }];
-    const when = [
-      { key: key.part(machine.part), revision: owned.revision },
-      { key: key.machines(id), revision: 0 },
-    ];
-    const result = await this.client.transact(CALL.rest, when, writes);
+    const adopted = key.adopted(name);
+    const writes: Write[] = [{ put: adopted, value: encodeGroup(group) }];
+    const when = [{ key: adopted, revision: 0 }, ...conditions];
+    const { authorization } = owned;
+    const result = await fencedTransaction(this.client, authorization, CALL.rest, when, writes);
     if (!result.ok) return;
     this.cache.applyOwn(writes, result.epoch);
     this.log.info({ machine: name, part: machine.part }, 'machine adopted');
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -1,3 +1,4 @@
+import { Authorization, fencingToken, type Refusals, type SessionLease } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
 import type { OperatorConfig } from '../config/operator.js';
@@ -19,14 +20,14 @@
 import { shareSockets } from '../sockets.js';
 import { CALL, StateTrouble, type StateClient } from '../state/client.js';
 import { key, type PartRecord } from '../state/keys.js';
-import type { NodeLease } from '../state/lease.js';
 import type { WatchCache } from '../state/watch-cache.js';
 import type { Condition, Write } from '../wire/schemas.js';
 import type { HeartbeatReply } from '../workers/heartbeats.js';
 
 export interface Owned {
   readonly part: Part;
-  readonly revision: number;
+  /** the right to act for the part under its term */
+  readonly authorization: Authorization;
   /** handed over by a transaction whose outcome is not known: we act for the part no more */
   suspended: boolean;
   saving: boolean;
@@ -84,10 +85,11 @@
     private readonly incarnation: string,
     private readonly client: Pick<StateClient, 'transact' | 'get'>,
     private readonly cache: WatchCache,
-    private readonly lease: Pick<NodeLease, 'valid' | 'registeredAt' | 'validSince'>,
+    private readonly lease: Pick<SessionLease, 'valid' | 'registeredAt' | 'validSince'>,
     /** resolves once the cache shows everything that was committed before the call */
     private readonly current: () => Promise<unknown>,
     private readonly peers: PeerView,
+    private readonly refusals: Refusals,
     private readonly types: () => ReadonlyMap<string, MachineType> | null,
     private readonly startWithin: PartSettings['startWithin'],
     private readonly now: () => number,
@@ -149,12 +151,20 @@
     return present && this.authority(this.now());
   }
 
-  termOf(part: number): number | null {
-    return this.cache.tables['parts/'].get(String(part))?.value.term ?? null;
+  /** The right to act for a part under its term, which is its fencing token. */
+  #authorization(part: Part, revision: number): Authorization {
+    const holds = () => {
+      const owned = this.owned.get(part.index);
+      return owned?.part === part && this.actsFor(owned);
+    };
+    const duty = key.part(part.index);
+    const condition = { key: duty, revision };
+    const tenure = { duty, token: fencingToken(part.term), condition, holds };
+    return new Authorization(tenure, this.refusals);
   }
 
-  condition(index: number, owned: Owned): Condition {
-    return { key: key.part(index), revision: owned.revision };
+  termOf(part: number): number | null {
+    return this.cache.tables['parts/'].get(String(part))?.value.term ?? null;
   }
 
   #alive(): Map<string, Set<string>> {
@@ -237,7 +247,7 @@
         });
         this.owned.set(index, {
           part,
-          revision: record.revision,
+          authorization: this.#authorization(part, record.revision),
           suspended: false,
           saving: false,
           lastSave: now,
--- a/src/parts/rentals.ts
+++ b/src/parts/rentals.ts
@@ -1,48 +1,41 @@
+import { fencedTransaction, RecordedIntent } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { OperatorConfig } from '../config/operator.js';
 import type { PlatformConfig } from '../config/platform.js';
 import {
-  ADOPT_MS,
   GROUP_BYTES,
   HOST_BYTES,
-  LIST_MS,
   NO_CAPACITY_MS,
   RENT_MOST,
   RENT_MS,
   RENT_RETRY_MS,
-  RETURN_MOST,
   SUMMARY_MS,
 } from '../constants.js';
-import { CloudTrouble, type CloudClient } from '../cloud/client.js';
+import type { CloudClient } from '../cloud/client.js';
 import { planCapacity } from '../core/capacity.js';
-import { partOfMachine } from '../core/jobs.js';
 import type { Learning } from '../core/learning.js';
-import type { JobSpec, MachineType, Report } from '../core/model.js';
+import type { JobSpec, MachineType } from '../core/model.js';
 import type { PartController, Owned } from './part-controller.js';
-import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import { CALL, type StateClient } from '../state/client.js';
 import { key, type HireRecord } from '../state/keys.js';
 import type { WatchCache } from '../state/watch-cache.js';
-import type { ListedMachine, Write } from '../wire/schemas.js';
+import type { Write } from '../wire/schemas.js';
+import type { Returns } from './returns.js';
+import { isTrouble } from './trouble.js';
 
 type Wish = { type: string; zone: string; spot: boolean; count: number };
 
-/** Rents and returns machines for the parts that this node owns. */
+/** Plans the machines of the parts that this node owns, and rents what is missing. */
 export class Rentals {
   #sequence = 0;
   readonly #refused = new Map<string, number>();
   readonly #renting = new Set<string>();
   /** parts whose new hires are being recorded */
   readonly #planning = new Set<number>();
-  readonly #returning = new Set<string>();
-  readonly #unrecorded = new Map<string, number>();
-  readonly #adopting = new Set<string>();
-  readonly addresses = new Map<string, string>();
   /** machines of one rental: their record must fit a value of the state service */
   readonly #rentMost: number;
   #lastPlan = -Infinity;
   #lastCapped = -Infinity;
-  #lastList = -Infinity;
-  #listing = false;
 
   constructor(
     private readonly config: PlatformConfig,
@@ -52,6 +45,7 @@
     private readonly client: StateClient,
     private readonly cache: WatchCache,
     private readonly partController: PartController,
+    private readonly returns: Returns,
     private readonly learning: Learning,
     private readonly elsewhere: (part: number) => ReadonlyMap<string, number>,
     /** jobs that will be submitted again here or elsewhere */
@@ -70,14 +64,8 @@
     const types = this.types();
     if (types === null || !this.partController.authority(now)) return;
     for (const [index, owned] of this.partController.owned) {
-      if (owned.suspended) continue;
-      for (const m of owned.part.machines.values()) {
-        m.address ??= this.addresses.get(m.record.name) ?? null;
-      }
-      this.#hires(index, owned);
+      if (!owned.suspended) this.#hires(index, owned);
     }
-    const listMs = Math.max(LIST_MS, this.cloud.listEveryMs());
-    if (now - this.#lastList > listMs && this.partController.owned.size > 0) void this.#list();
     if (now - this.#lastPlan < RENT_MS) return;
     this.#lastPlan = now;
     for (const [index, owned] of this.partController.owned) {
@@ -123,25 +111,15 @@
       }
     }
     if (wishes.length > 0) void this.#newHires(index, owned, wishes);
-    const names = plan.giveBack.filter((g) => !this.#returning.has(g.name));
-    for (const g of names) {
-      const m = owned.part.machines.get(g.name);
-      if (m === undefined) continue;
-      m.returning = true;
-      this.log.info({ machine: g.name, part: index, reason: g.reason }, 'machine to be returned');
-    }
-    const all = [...owned.part.machines.values()].filter((m) => m.returning);
-    void this.#giveBack(
-      owned,
-      all.map((m) => m.record.name).filter((n) => !this.#returning.has(n)),
-    );
+    this.returns.mark(index, owned, plan.giveBack);
+    this.returns.send(index, owned);
   }
 
   async #guard(what: string, work: () => Promise<void>): Promise<void> {
     try {
       await work();
     } catch (error) {
-      if (!(error instanceof StateTrouble) && !(error instanceof CloudTrouble)) throw error;
+      if (!isTrouble(error)) throw error;
       this.log.debug({ error: error.message }, what);
     }
   }
@@ -158,8 +136,14 @@
         const name = `${this.config.node}-${this.incarnation}-${this.#sequence}`;
         return { put: key.hire(part, name), value: wish };
       });
-      const when = [this.partController.condition(part, owned)];
-      const result = await this.client.transact(CALL.completion, when, writes);
+      const { authorization } = owned;
+      const result = await fencedTransaction(
+        this.client,
+        authorization,
+        CALL.completion,
+        [],
+        writes,
+      );
       if (result.ok) this.cache.applyOwn(writes, result.epoch);
     });
     this.#planning.delete(part);
@@ -167,19 +151,19 @@
   }
 
   #hires(index: number, owned: Owned): void {
-    for (const { value: hire } of this.cache.tables['hires/'].values()) {
+    for (const { value: hire, revision } of this.cache.tables['hires/'].values()) {
       if (hire.part !== index || this.#renting.has(hire.name)) continue;
       this.#renting.add(hire.name);
-      void this.#guard('rental not answered', () => this.#rent(owned, hire)).finally(() => {
+      const stored = { key: key.hire(index, hire.name), revision };
+      const intent = RecordedIntent.found(owned.authorization, stored);
+      void this.#guard('rental not answered', () => this.#rent(owned, hire, intent)).finally(() => {
         setTimeout(() => this.#renting.delete(hire.name), RENT_RETRY_MS);
       });
     }
   }
 
-  async #rent(owned: Owned, hire: HireRecord): Promise<void> {
-    const result = await this.cloud.rent({ request: hire.name, ...hire }, () =>
-      this.partController.actsFor(owned),
-    );
+  async #rent(owned: Owned, hire: HireRecord, intent: RecordedIntent): Promise<void> {
+    const result = await this.cloud.rent({ request: hire.name, ...hire }, intent);
     const where = { type: hire.type, zone: hire.zone, spot: hire.spot, part: hire.part };
     if (result.kind !== 'rented') {
       const until = this.now() + NO_CAPACITY_MS;
@@ -197,87 +181,4 @@
     }
     await this.partController.machines.hired(owned, hire, result.machines);
   }
-
-  // --- returning ---------------------------------------------------------------------------------
-
-  async #giveBack(owned: Owned, names: readonly string[]): Promise<void> {
-    for (let at = 0; at < names.length; at += RETURN_MOST) {
-      const some = names.slice(at, at + RETURN_MOST);
-      for (const n of some) this.#returning.add(n);
-      await this.#guard('return not answered', async () => {
-        await this.cloud.giveBack(some, () => this.partController.actsFor(owned));
-        for (const n of some) owned.part.machineGone(n, this.now());
-        this.partController.machines.returned(some);
-      });
-      for (const n of some) this.#returning.delete(n);
-    }
-  }
-
-  // --- machines that nobody recorded ---------------------------------------------------------------
-
-  async #list(): Promise<void> {
-    if (this.#listing) return;
-    this.#listing = true;
-    await this.#guard('machine list not answered', async () =>
-      this.#listed(await this.cloud.list()),
-    );
-    this.#listing = false;
-    this.#lastList = this.now();
-  }
-
-  #listed(list: readonly ListedMachine[]): void {
-    const now = this.now();
-    const names = new Set(list.map((m) => m.name));
-    for (const n of this.addresses.keys()) if (!names.has(n)) this.addresses.delete(n);
-    for (const n of this.#unrecorded.keys()) if (!names.has(n)) this.#unrecorded.delete(n);
-    const settled = ADOPT_MS + this.config.cloudLimits.listLagS * 3000;
-    for (const m of list) {
-      if (m.address !== null) this.addresses.set(m.name, m.address);
-      const record = this.cache.machines.get(m.name)?.value;
-      if (record !== undefined) {
-        this.#unrecorded.delete(m.name);
-        const state = this.partController.owned.get(record.part)?.part.machines.get(m.name);
-        if (m.status === 'failed' && state !== undefined && !state.returning) {
-          state.returning = true;
-          this.log.info({ machine: m.name, part: record.part }, 'machine failed');
-        }
-        continue;
-      }
-      // The list may show machines that are gone and were returned; wait until it cannot any more.
-      const since = this.#unrecorded.get(m.name) ?? now;
-      this.#unrecorded.set(m.name, since);
-      const part = partOfMachine(m.name, this.config.nodes);
-      if (now - since > settled && this.partController.owned.has(part)) {
-        void this.#adopt(part, m.name, m.type, m.zone, m.spot);
-      }
-    }
-  }
-
-  /**
-   * A report of a machine that is in no record: a rental that was carried out late, or a late copy of
-   * the report of a machine that is gone. Only the cloud's list tells which, so it is read soon.
-   */
-  sighted(report: Report): void {
-    const now = this.now();
-    const name = report.machine;
-    if (this.cache.machines.has(name) || this.partController.machines.isReturned(name)) return;
-    if (!this.#unrecorded.has(name)) this.#lastList = Math.min(this.#lastList, now - LIST_MS / 2);
-  }
-
-  async #adopt(
-    part: number,
-    name: string,
-    type: string,
-    zone: string,
-    spot: boolean,
-  ): Promise<void> {
-    const owned = this.partController.owned.get(part);
-    if (owned === undefined || this.#adopting.has(name)) return;
-    if (this.partController.machines.isReturned(name)) return;
-    this.#adopting.add(name);
-    await this.#guard('machine not adopted', () =>
-      this.partController.machines.adopt(owned, { part, type, zone, spot }, name),
-    );
-    this.#adopting.delete(name);
-  }
 }
--- /dev/null
+++ b/src/parts/returns.ts
@@ -0,0 +1,85 @@
+import type { Logger } from 'pino';
+import type { CloudClient } from '../cloud/client.js';
+import { RETURN_MOST } from '../constants.js';
+import type { ReturnIntents } from '../duties/return-intents.js';
+import type { Owned, PartController } from './part-controller.js';
+import { isTrouble } from './trouble.js';
+
+/** A machine to be returned, and why. */
+export interface PlannedReturn {
+  readonly name: string;
+  readonly reason: string;
+}
+
+/** Returns machines of the parts that this node owns to the cloud. */
+export class Returns {
+  /** machines whose return is on its way */
+  readonly #sending = new Set<string>();
+
+  constructor(
+    private readonly cloud: Pick<CloudClient, 'giveBack'>,
+    private readonly partController: Pick<PartController, 'owned' | 'machines'>,
+    /** null: returns are sent without being recorded */
+    private readonly intents: ReturnIntents | null,
+    private readonly now: () => number,
+    private readonly log: Logger,
+  ) {}
+
+  /** Takes machines out of use, for a return. */
+  mark(index: number, owned: Owned, planned: readonly PlannedReturn[]): void {
+    for (const { name, reason } of planned) {
+      const machine = owned.part.machines.get(name);
+      if (machine === undefined || this.#sending.has(name)) continue;
+      machine.returning = true;
+      this.log.info({ machine: name, part: index, reason }, 'machine to be returned');
+    }
+  }
+
+  /** Takes machines out of use whose return an earlier owner has recorded: its call may still arrive. */
+  markRecorded(): void {
+    if (this.intents === null) return;
+    for (const [index, { part }] of this.partController.owned) {
+      for (const list of [index, 'unrecorded'] as const) {
+        for (const name of this.intents.recorded(list)) {
+          const machine = part.machines.get(name);
+          if (machine !== undefined) machine.returning = true;
+        }
+      }
+    }
+  }
+
+  /** Returns whatever is out of use and not on its way yet. */
+  send(index: number, owned: Owned): void {
+    const names = [...owned.part.machines.values()]
+      .filter((machine) => machine.returning && !this.#sending.has(machine.record.name))
+      .map((machine) => machine.record.name);
+    if (names.length > 0) void this.#send(index, owned, names);
+  }
+
+  async #send(index: number, owned: Owned, names: readonly string[]): Promise<void> {
+    for (const name of names) this.#sending.add(name);
+    try {
+      const recorded = await this.#record(index, owned, names);
+      for (let at = 0; at < recorded.length; at += RETURN_MOST) {
+        await this.#giveBack(owned, recorded.slice(at, at + RETURN_MOST));
+      }
+    } catch (error) {
+      if (!isTrouble(error)) throw error;
+      this.log.debug({ error: error.message }, 'return not answered');
+    } finally {
+      for (const name of names) this.#sending.delete(name);
+    }
+  }
+
+  async #record(index: number, owned: Owned, names: readonly string[]) {
+    if (this.intents === null) return names;
+    const needed = (name: string) => owned.part.machines.has(name);
+    return this.intents.record(index, owned.authorization, names, needed);
+  }
+
+  async #giveBack(owned: Owned, names: readonly string[]): Promise<void> {
+    await this.cloud.giveBack(names, owned.authorization);
+    for (const name of names) owned.part.machineGone(name, this.now());
+    this.partController.machines.returned(names);
+  }
+}
--- a/src/parts/task-transfer.ts
+++ b/src/parts/task-transfer.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { fencedTransaction } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
 import {
@@ -113,14 +114,18 @@
     if (JSON.stringify(value).length > valueBytes * RECORD_FILL) return;
     const writes: Write[] = [{ put: key.active(uid), value }];
     // A part of the range may be saved under the old cut; the bitmap's end is simply cut off.
-    const when = [
-      { key: key.part(index), revision: owned.revision },
-      { key: key.active(uid), revision: active.revision },
-    ];
+    const when = [{ key: key.active(uid), revision: active.revision }];
     owned.part.beginTransfer(job, from, range.to);
     for (;;) {
       try {
-        const result = await this.client.transact(CALL.completion, when, writes);
+        const { authorization } = owned;
+        const result = await fencedTransaction(
+          this.client,
+          authorization,
+          CALL.completion,
+          when,
+          writes,
+        );
         if (result.ok) {
           this.cache.applyOwn(writes, result.epoch);
           owned.part.endTransfer(job, true, this.now());
--- /dev/null
+++ b/src/parts/unrecorded-machines.ts
@@ -0,0 +1,142 @@
+import type { Logger } from 'pino';
+import type { CloudClient } from '../cloud/client.js';
+import type { PlatformConfig } from '../config/platform.js';
+import { ADOPT_MS, LIST_MS } from '../constants.js';
+import { partOfMachine } from '../core/jobs.js';
+import type { Report } from '../core/model.js';
+import type { Reclaiming } from '../duties/reclaiming.js';
+import type { ReturnIntents } from '../duties/return-intents.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { ListedMachine } from '../wire/schemas.js';
+import type { PartController } from './part-controller.js';
+import { isTrouble } from './trouble.js';
+
+/** The duty of returning machines that no record knows, where it is switched on. */
+export interface Reclaimer {
+  readonly reclaiming: Reclaiming;
+  readonly intents: ReturnIntents;
+}
+
+/**
+ * Reads the cloud's list: addresses of machines, machines that failed, and machines that no record knows. Those
+ * are adopted by the part that their name belongs to, or returned by the holder of the duty of reclaiming.
+ */
+export class UnrecordedMachines {
+  readonly #addresses = new Map<string, string>();
+  /** since when the list shows them without a record, steady ms */
+  readonly #since = new Map<string, number>();
+  readonly #adopting = new Set<string>();
+  #lastList = -Infinity;
+  #listing = false;
+
+  constructor(
+    private readonly config: Pick<PlatformConfig, 'nodes' | 'cloudLimits'>,
+    private readonly cloud: Pick<CloudClient, 'list' | 'listEveryMs'>,
+    private readonly cache: WatchCache,
+    private readonly partController: PartController,
+    private readonly reclaimer: Reclaimer | null,
+    private readonly now: () => number,
+    private readonly log: Logger,
+  ) {}
+
+  /** Reads the list if it is due, and tells the owned parts what it said of addresses. */
+  tick(): void {
+    const now = this.now();
+    if (!this.partController.authority(now)) return;
+    for (const { part, suspended } of this.partController.owned.values()) {
+      if (suspended) continue;
+      for (const machine of part.machines.values()) {
+        machine.address ??= this.#addresses.get(machine.record.name) ?? null;
+      }
+    }
+    const listMs = Math.max(LIST_MS, this.cloud.listEveryMs());
+    if (now - this.#lastList > listMs && this.#needsList()) void this.#list();
+  }
+
+  #needsList(): boolean {
+    return this.partController.owned.size > 0 || (this.reclaimer?.reclaiming.held ?? false);
+  }
+
+  async #list(): Promise<void> {
+    if (this.#listing) return;
+    this.#listing = true;
+    await this.#guarded('machine list not answered', async () => {
+      await this.#listed(await this.cloud.list());
+    });
+    this.#listing = false;
+    this.#lastList = this.now();
+  }
+
+  async #guarded(what: string, work: () => Promise<void>): Promise<void> {
+    try {
+      await work();
+    } catch (error) {
+      if (!isTrouble(error)) throw error;
+      this.log.debug({ error: error.message }, what);
+    }
+  }
+
+  async #listed(list: readonly ListedMachine[]): Promise<void> {
+    const names = new Set(list.map((machine) => machine.name));
+    for (const name of this.#addresses.keys()) if (!names.has(name)) this.#addresses.delete(name);
+    for (const name of this.#since.keys()) if (!names.has(name)) this.#since.delete(name);
+    for (const { name, address } of list) if (address !== null) this.#addresses.set(name, address);
+    const unrecorded = list.filter((machine) => !this.#recorded(machine));
+    const settled = unrecorded.filter((machine) => this.#settled(machine));
+    if (this.reclaimer?.reclaiming.begun ?? false) await this.#reclaim(settled);
+    else for (const machine of settled) void this.#adopt(machine);
+  }
+
+  /** Whether a record knows the machine; notes it if the cloud says that it failed. */
+  #recorded({ name, status }: ListedMachine): boolean {
+    const record = this.cache.machines.get(name)?.value;
+    if (record === undefined) return false;
+    this.#since.delete(name);
+    const state = this.partController.owned.get(record.part)?.part.machines.get(name);
+    if (status === 'failed' && state !== undefined && !state.returning) {
+      state.returning = true;
+      this.log.info({ machine: name, part: record.part }, 'machine failed');
+    }
+    return true;
+  }
+
+  /** The list may show machines that are gone and were returned; it can't any more after some time. */
+  #settled({ name }: ListedMachine): boolean {
+    const now = this.now();
+    const since = this.#since.get(name) ?? now;
+    this.#since.set(name, since);
+    const settledMs = ADOPT_MS + this.config.cloudLimits.listLagS * 3000;
+    return now - since > settledMs && !this.partController.machines.isReturned(name);
+  }
+
+  /**
+   * A report of a machine that is in no record: a rental that was carried out late, or a late copy of
+   * the report of a machine that is gone. Only the cloud's list tells which, so it is read soon.
+   */
+  sighted({ machine }: Report): void {
+    if (this.cache.machines.has(machine)) return;
+    if (this.partController.machines.isReturned(machine) || this.#since.has(machine)) return;
+    this.#lastList = Math.min(this.#lastList, this.now() - LIST_MS / 2);
+  }
+
+  async #reclaim(machines: readonly ListedMachine[]): Promise<void> {
+    if (machines.length === 0 || this.reclaimer === null) return;
+    const gone = await this.reclaimer.reclaiming.reclaim(machines);
+    this.partController.machines.returned(gone);
+  }
+
+  async #adopt({ name, type, zone, spot }: ListedMachine): Promise<void> {
+    const part = partOfMachine(name, this.config.nodes);
+    const owned = this.partController.owned.get(part);
+    if (owned === undefined || this.#adopting.has(name)) return;
+    // Whoever held the duty before it was paused may have sent the machine's return.
+    const intents = this.reclaimer?.intents ?? null;
+    if (intents?.recorded('unrecorded').has(name) ?? false) return;
+    const when = intents === null ? [] : [intents.condition('unrecorded')];
+    this.#adopting.add(name);
+    await this.#guarded('machine not adopted', () =>
+      this.partController.machines.adopt(owned, { part, type, zone, spot }, name, when),
+    );
+    this.#adopting.delete(name);
+  }
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,9 +1,9 @@
-import { createServer, type Server } from 'node:http';
-import Koa from 'koa';
+import { Refusals, type SessionLease } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import { steadyMs, timeOfDayMs } from './clock.js';
 import { CloudClient } from './cloud/client.js';
 import { MachineTypes } from './cloud/machine-types.js';
+import type { DutiesConfig } from './config/duties.js';
 import type { OperatorConfig } from './config/operator.js';
 import type { PlatformConfig } from './config/platform.js';
 import {
@@ -11,7 +11,6 @@
   FOLLOW_PAUSE_MS,
   IDLE_LEASES,
   LOOP_MS,
-  REQUEST_MS,
   SIGHTING_MS,
   SOON_MS,
   STATE_FRESH_MS,
@@ -24,19 +23,23 @@
 } from './core/cancellations.js';
 import { Learning } from './core/learning.js';
 import { type Report } from './core/model.js';
+import { Duties } from './duties/duties.js';
 import { PartController, type PeerView } from './parts/part-controller.js';
 import { Gossip, type OwnStatus } from './peers/gossip.js';
 import type { PeerStatus } from './peers/frames.js';
 import { PartDirectory, progressIn } from './peers/part-directory.js';
 import { randomFrom } from './random.js';
 import { Rentals } from './parts/rentals.js';
+import { Returns } from './parts/returns.js';
+import { UnrecordedMachines } from './parts/unrecorded-machines.js';
+import { HttpServer } from './service/http-server.js';
 import { cloudShare, LimitSharing, stateShare } from './service/limit-sharing.js';
 import { Readiness } from './service/readiness.js';
 import { Summary } from './service/summary.js';
-import { InboundConnections, shareSockets } from './sockets.js';
+import { shareSockets } from './sockets.js';
 import { StateClient } from './state/client.js';
 import { LinearizableReads } from './state/linearizable-reads.js';
-import { NodeLease } from './state/lease.js';
+import { nodeSession } from './state/session.js';
 import { watch, type WatchBatch } from './state/watch.js';
 import { WatchCache } from './state/watch-cache.js';
 import { userRoutes } from './users/api.js';
@@ -44,6 +47,9 @@
 import { Jobs } from './users/jobs.js';
 import { workerRoutes, type HeartbeatReply } from './workers/heartbeats.js';
 
+/** The duty of renting and returning machines of a part: its record is the part's. */
+const PART_DUTY = /^parts\/(\d+)$/;
+
 /** One controller: the core wired to state service, cloud, workers, users and the other nodes. */
 export class Service {
   readonly #now = steadyMs;
@@ -53,7 +59,12 @@
   readonly #cloud: CloudClient;
   readonly #cache = new WatchCache();
   readonly #linearizable: LinearizableReads;
-  readonly #lease: NodeLease;
+  readonly #lease: SessionLease;
+  readonly #refusals: Refusals;
+  /** null: the duties are switched off */
+  readonly #duties: Duties | null;
+  readonly #returns: Returns;
+  readonly #unrecorded: UnrecordedMachines;
   readonly #learning = new Learning();
   readonly #gossip: Gossip;
   readonly #broadcast: CancellationBroadcast;
@@ -63,6 +74,7 @@
   readonly #readiness = new Readiness();
   readonly #limits: LimitSharing;
   readonly #summary: Summary;
+  readonly #server: HttpServer;
   readonly #partController: PartController;
   readonly #rentals: Rentals;
   readonly #jobReader: JobReader;
@@ -74,12 +86,12 @@
   #soonAt = Infinity;
   /** the cache's version whose jobs are learned from */
   #learned = -1;
-  #server: Server | null = null;
 
   constructor(
     private readonly config: PlatformConfig,
     private readonly operator: OperatorConfig,
     private readonly log: Logger,
+    dutiesConfig: DutiesConfig | null = null,
   ) {
     const seed = (timeOfDayMs() * 1000 + Math.floor(steadyMs() * 1000) + process.pid) | 0;
     this.#random = randomFrom(seed);
@@ -97,7 +109,11 @@
     this.#types = new MachineTypes(this.#cloud, log);
     this.#limits = new LimitSharing(config, operator, this.#state, this.#cloud);
     this.#summary = new Summary(log);
-    this.#lease = new NodeLease(this.#state, config.node, this.#incarnation, this.#now, log);
+    this.#server = new HttpServer(log);
+    const knowsDuties = dutiesConfig !== null;
+    const life = { node: config.node, incarnation: this.#incarnation, knowsDuties };
+    this.#lease = nodeSession(this.#state, life, this.#now, log);
+    this.#refusals = new Refusals((duty) => this.#currentToken(duty), log);
     const others = config.peers.map((p) => p.node);
     this.#broadcast = new CancellationBroadcast(others, config.workers.cancelS * 1000);
     this.#receiver = new CancellationReceiver(others);
@@ -125,12 +141,43 @@
       this.#lease,
       () => this.#linearizable.wait(),
       this.#peerView(),
+      this.#refusals,
       () => this.#types.current,
       (jobClass) => this.#startWithin(jobClass),
       this.#now,
       timeOfDayMs,
       log,
     );
+    this.#duties =
+      dutiesConfig === null
+        ? null
+        : new Duties(config, dutiesConfig, this.#incarnation, {
+            client: this.#state,
+            cloud: this.#cloud,
+            cache: this.#cache,
+            authority: () => this.#partController.authority(this.#now()),
+            current: () => this.#linearizable.wait(),
+            refusals: this.#refusals,
+            now: this.#now,
+            timeOfDay: timeOfDayMs,
+            log,
+          });
+    this.#returns = new Returns(
+      this.#cloud,
+      this.#partController,
+      this.#duties?.partReturns ?? null,
+      this.#now,
+      log,
+    );
+    this.#unrecorded = new UnrecordedMachines(
+      config,
+      this.#cloud,
+      this.#cache,
+      this.#partController,
+      this.#duties?.reclaimer ?? null,
+      this.#now,
+      log,
+    );
     this.#rentals = new Rentals(
       config,
       operator,
@@ -139,6 +186,7 @@
       this.#state,
       this.#cache,
       this.#partController,
+      this.#returns,
       this.#learning,
       (part) => this.#directory.busyElsewhere(part),
       () => this.#jobs.sentAway(),
@@ -164,6 +212,7 @@
         valueBytes: config.stateLimits.valueBytes,
         loadThreshold: operator.loadThreshold,
       },
+      () => this.#duties?.acceptanceCondition() ?? null,
       this.#now,
     );
     this.#cache.on('change', () => this.#reconcileSoon());
@@ -189,54 +238,37 @@
     });
   }
 
-  async #listen(): Promise<void> {
-    const app = new Koa();
-    app.on('error', (error: Error) => this.log.debug({ error: error.message }, 'request failed'));
-    app.use(
-      workerRoutes(
-        (report) => this.#beat(report),
-        () => this.#cache.ready,
-      ),
+  #listen(): Promise<void> {
+    const workers = workerRoutes(
+      (report) => this.#beat(report),
+      () => this.#cache.ready,
     );
-    app.use(
-      userRoutes({
-        jobs: this.#jobs,
-        reader: this.#jobReader,
-        progress: (uid) => this.#directory.progress(uid),
-        // Whoever runs the job should stop it now, whether or not the state service tells it.
-        cancelled: (uid) => {
-          if (this.#broadcast.has(uid)) this.#gossip.hurry();
-        },
-        ready: () => this.#ready(),
-        stateUp: () => this.#state.up,
-        timeOfDay: timeOfDayMs,
-        steady: this.#now,
-        random: this.#random,
-        malformed: (reason) => this.log.info({ reason }, 'malformed submission'),
-        accepted: (spec, ms) => {
-          this.#summary.accepted(ms);
-          const { uid, jobClass, tasks } = spec;
-          this.log.debug({ job: uid, class: jobClass, tasks }, 'accepted');
-        },
-      }),
-    );
-    const handler = app.callback();
-    const { inbound } = shareSockets(this.config.sockets, this.config.peers.length);
-    const server = createServer((req, res) => {
-      connections.answering(res);
-      void handler(req, res);
+    const users = userRoutes({
+      jobs: this.#jobs,
+      reader: this.#jobReader,
+      progress: (uid) => this.#directory.progress(uid),
+      // Whoever runs the job should stop it now, whether or not the state service tells it.
+      cancelled: (uid) => {
+        if (this.#broadcast.has(uid)) this.#gossip.hurry();
+      },
+      ready: () => this.#ready(),
+      stateUp: () => this.#state.up,
+      timeOfDay: timeOfDayMs,
+      steady: this.#now,
+      random: this.#random,
+      malformed: (reason) => this.log.info({ reason }, 'malformed submission'),
+      accepted: (spec, ms) => {
+        this.#summary.accepted(ms);
+        const { uid, jobClass, tasks } = spec;
+        this.log.debug({ job: uid, class: jobClass, tasks }, 'accepted');
+      },
     });
-    const connections = new InboundConnections(server, inbound);
-    server.keepAliveTimeout = this.config.workers.leaseS * 1000 * IDLE_LEASES;
-    server.requestTimeout = REQUEST_MS;
-    server.on('drop', () => this.#summary.connectionDropped());
-    this.#server = server;
-    const colon = this.config.listen.lastIndexOf(':');
-    const host = this.config.listen.slice(0, colon);
-    const port = Number(this.config.listen.slice(colon + 1));
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
+    const { inbound } = shareSockets(this.config.sockets, this.config.peers.length);
+    const idleMs = this.config.workers.leaseS * 1000 * IDLE_LEASES;
+    return this.#server.listen([workers, users], this.config.listen, {
+      connections: inbound,
+      idleMs,
+      dropped: () => this.#summary.connectionDropped(),
     });
   }
 
@@ -273,6 +305,7 @@
     const { ready } = this.#cache;
     this.#limits.update(ready ? this.#partController.aliveNodes() : this.config.nodes);
     this.#learn();
+    this.#returns.markRecorded();
     this.#partController.tick();
     for (const [index, { part }] of this.#partController.owned) {
       for (const run of part.finishedRuns.splice(0)) this.#learning.ran(run.jobClass, run.runS);
@@ -280,7 +313,10 @@
         this.log.debug({ job: uid, part: index, term: part.term, ...e }, 'task');
       }
     }
+    this.#returns.markRecorded();
+    this.#unrecorded.tick();
     this.#rentals.tick();
+    this.#duties?.tick();
   }
 
   /** Arrivals, when there are new ones, and what other nodes have learned of run times. */
@@ -299,7 +335,7 @@
 
   #beat(report: Report): HeartbeatReply {
     const reply = this.#partController.beat(report);
-    if (reply.kind === 'unavailable') this.#rentals.sighted(report);
+    if (reply.kind === 'unavailable') this.#unrecorded.sighted(report);
     else if (reply.kind === 'answer') this.#reconcileSoon();
     return reply;
   }
@@ -387,9 +423,18 @@
     };
   }
 
+  /** The token of the present tenure, by a current read. */
+  async #currentToken(duty: string): Promise<number | null> {
+    await this.#linearizable.wait();
+    const part = PART_DUTY.exec(duty)?.[1];
+    if (part !== undefined) return this.#partController.termOf(Number(part));
+    return this.#duties?.tokenOf(duty) ?? null;
+  }
+
   #summarize(): void {
     const activeJobs = this.#cache.tables['active/'].size;
-    this.#summary.write(this.#partController.owned, activeJobs, this.#state.up);
+    const refusals = this.#refusals.counts;
+    this.#summary.write(this.#partController.owned, activeJobs, this.#state.up, refusals);
   }
 
   close(): void {
@@ -399,8 +444,7 @@
     this.#partController.close();
     this.#lease.close();
     this.#gossip.close();
-    this.#server?.close();
-    this.#server?.closeAllConnections();
+    this.#server.close();
     this.#linearizable.close();
     this.#state.close();
     this.#cloud.close();
--- a/src/service/summary.ts
+++ b/src/service/summary.ts
@@ -1,4 +1,5 @@
 import hdr from 'hdr-histogram-js';
+import type { RefusalCounts } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { Part } from '../core/part.js';
 
@@ -53,6 +54,7 @@
     parts: ReadonlyMap<number, { readonly part: Part }>,
     activeJobs: number,
     stateUp: boolean,
+    ordersRefused: RefusalCounts,
   ): void {
     const percentile = (p: number) => this.#acceptMs.getValueAtPercentile(p);
     const count = this.#acceptMs.totalCount;
@@ -63,6 +65,7 @@
         state: stateUp,
         acceptMs: { p50: percentile(50), p99: percentile(99), count },
         connectionsDropped: this.#connectionsDropped,
+        ordersRefused,
         rssMb: Math.round(process.memoryUsage.rss() / MEBIBYTE),
       },
       'summary',
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,3 +1,4 @@
+import { StoreUnavailableError, type Outcome } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import {
   BACKOFF_429_MS,
@@ -27,7 +28,7 @@
 } from '../wire/schemas.js';
 
 /** The state service did not carry the call out (503, 429) or did not answer (unknown). */
-export class StateTrouble extends Error {
+export class StateTrouble extends StoreUnavailableError {
   constructor(
     readonly kind: 'refused' | 'no_answer' | 'busy' | 'invalid',
     message: string,
@@ -52,6 +53,8 @@
   readonly key: string;
   readonly value: unknown;
   readonly revision: number;
+  /** the lease that the key is attached to, if the answer tells */
+  readonly lease?: number | null;
 }
 export interface Page {
   readonly entries: readonly Entry[];
@@ -59,9 +62,7 @@
   readonly epoch: number;
 }
 export type Found = Entry | { readonly missing: true; readonly epoch: number };
-export type Outcome =
-  | { readonly ok: true; readonly epoch: number }
-  | { readonly ok: false; readonly failed: readonly string[] };
+export type { Outcome };
 export interface Change {
   readonly key: string;
   readonly revision: number;
@@ -231,13 +232,18 @@
     const a = await this.#call(cls, 'GET', `/store/${key}`);
     if (a.status === 404) return { missing: true, epoch: missing.parse(a.body).Epoch };
     const e = entry.parse(a.body);
-    return { key: e.K, value: e.Value, revision: e.Stamp };
+    return { key: e.K, value: e.Value, revision: e.Stamp, lease: e.Permit ?? null };
   }
 
-  async list(prefix: string, since: string | null, limit: number): Promise<Page> {
+  async list(
+    prefix: string,
+    since: string | null,
+    limit: number,
+    cls: CallClass = CALL.feed,
+  ): Promise<Page> {
     const after = since === null ? '' : `&Since=${encodeURIComponent(since)}`;
     const path = `/store?Starts=${encodeURIComponent(prefix)}${after}&Limit=${limit}`;
-    const a = await this.#call(CALL.feed, 'GET', path);
+    const a = await this.#call(cls, 'GET', path);
     const page = entries.parse(a.body);
     return {
       entries: page.Entries.map((e) => ({ key: e.K, value: e.Value, revision: e.Stamp })),
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import type { JobRecord, JobSpec, MachineRecord } from '../core/model.js';
+import { decodeDutyEntry, type DutyEntry } from './duty-entries.js';
 
 /** The machines of one rental that are in the same part, in one value: they cost one write. */
 export interface MachineGroup extends Omit<MachineRecord, 'name' | 'up'> {
@@ -19,6 +20,7 @@
   'hires/',
   'active/',
   'done/',
+  'duties/',
   'term',
 ] as const;
 export type Prefix = (typeof CACHED_PREFIXES)[number];
@@ -30,6 +32,8 @@
   part: (index: number) => `parts/${index}`,
   node: (name: string, incarnation: string) => `nodes/${name}/${incarnation}`,
   machines: (group: string) => `machines/${group}`,
+  /** the group of a machine that no rental recorded */
+  adopted: (machine: string) => `machines/found-${machine}`,
   hire: (part: number, name: string) => `hires/${part}/${name}`,
   active: (uid: string) => `active/${uid}`,
   final: (uid: string) => `${FINAL}${uid}`,
@@ -48,7 +52,15 @@
 export interface NodeRecord {
   readonly node: string;
   readonly incarnation: string;
+  /** whether this life takes part in exclusive duties; versions that don't know them say nothing */
+  readonly knowsDuties: boolean;
 }
+
+/** Version of the duties that a node's record names. */
+const DUTIES_VERSION = 1;
+
+export const encodeNode = (incarnation: string, knowsDuties: boolean): unknown =>
+  knowsDuties ? { incarnation, duties: DUTIES_VERSION } : { incarnation };
 export interface HireRecord {
   readonly part: number;
   readonly name: string;
@@ -65,7 +77,7 @@
 
 const int = z.number().int().nonnegative();
 const part = z.object({ owner: z.string(), incarnation: z.string(), term: int });
-const node = z.object({ incarnation: z.string() });
+const node = z.object({ incarnation: z.string(), duties: z.number().nullish() });
 const machine = z.object({
   part: int,
   era: int,
@@ -109,6 +121,7 @@
   'parts/': PartRecord;
   'nodes/': NodeRecord;
   'hires/': HireRecord;
+  'duties/': DutyEntry;
   term: number;
 }
 
@@ -151,10 +164,15 @@
     return { ...rest, hosts: new Map(Object.entries(hosts).map(([n, up]) => [n, up !== 0])) };
   },
   'parts/': (_, value) => part.parse(value),
-  'nodes/': (id, value) => ({ node: id.slice(0, id.lastIndexOf('/')), ...node.parse(value) }),
+  'nodes/': (id, value) => {
+    const { incarnation, duties } = node.parse(value);
+    const knowsDuties = duties === DUTIES_VERSION;
+    return { node: id.slice(0, id.lastIndexOf('/')), incarnation, knowsDuties };
+  },
   'hires/': (id, value) => {
     const slash = id.indexOf('/');
     return { part: Number(id.slice(0, slash)), name: id.slice(slash + 1), ...hire.parse(value) };
   },
+  'duties/': decodeDutyEntry,
   term: (_, value) => int.parse(value),
 };
--- /dev/null
+++ b/src/state/session.ts
@@ -0,0 +1,40 @@
+import { SessionLease } from '@sumacstep/duties';
+import type { Logger } from 'pino';
+import {
+  CLOCK_DRIFT,
+  LEASE_MARGIN_MS,
+  LEASE_RENEW_MS,
+  LEASE_RETRY_MS,
+  LEASE_TTL_MS,
+} from '../constants.js';
+import type { StateClient } from './client.js';
+import { encodeNode, key } from './keys.js';
+
+const TIMING = {
+  ttlMs: LEASE_TTL_MS,
+  renewMs: LEASE_RENEW_MS,
+  retryMs: LEASE_RETRY_MS,
+  clockDrift: CLOCK_DRIFT,
+  marginMs: LEASE_MARGIN_MS,
+};
+
+/** One life of a node, as its record says it. */
+export interface NodeLife {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly knowsDuties: boolean;
+}
+
+/** This node's lease on the state service and the node key attached to it. */
+export const nodeSession = (
+  client: Pick<StateClient, 'grant' | 'renew' | 'register'>,
+  { node, incarnation, knowsDuties }: NodeLife,
+  now: () => number,
+  log: Logger,
+): SessionLease => {
+  const registration = {
+    key: key.node(node, incarnation),
+    value: encodeNode(incarnation, knowsDuties),
+  };
+  return new SessionLease(client, registration, TIMING, now, log);
+};
--- a/src/state/watch-cache.ts
+++ b/src/state/watch-cache.ts
@@ -53,6 +53,7 @@
   'parts/': new Map(),
   'nodes/': new Map(),
   'hires/': new Map(),
+  'duties/': new Map(),
   term: new Map(),
 });
 
--- a/src/users/jobs.ts
+++ b/src/users/jobs.ts
@@ -1,4 +1,5 @@
 import {
+  ACCEPT_TRIES,
   CANCEL_TRIES,
   LOAD_PER_RANGE,
   NAME_LIMIT,
@@ -21,7 +22,7 @@
 import { CALL, StateTrouble, type StateClient } from '../state/client.js';
 import { encodeActive, key, type FinalState } from '../state/keys.js';
 import type { WatchCache } from '../state/watch-cache.js';
-import type { Write } from '../wire/schemas.js';
+import type { Condition, Write } from '../wire/schemas.js';
 import { finalReading, type JobReader, type JobReading } from './job-reader.js';
 
 /** What has become of a submission. */
@@ -62,6 +63,8 @@
     private readonly reader: JobReader,
     private readonly routing: Routing,
     private readonly settings: JobSettings,
+    /** what acceptances depend on, so that none from before a clearing of final states comes back; if any */
+    private readonly acceptanceCondition: () => Condition | null,
     /** steady ms */
     private readonly now: () => number,
   ) {}
@@ -136,22 +139,31 @@
     if (JSON.stringify(value).length > this.settings.valueBytes) {
       return this.#ifKnown(spec.uid, { kind: 'never', reason: 'record_too_large' });
     }
-    const writes: Write[] = [{ put: key.active(spec.uid), value }];
+    return this.#writeAcceptance(job, value, ACCEPT_TRIES);
+  }
+
+  async #writeAcceptance(job: JobRecord, value: unknown, tries: number): Promise<Submitted> {
+    const { uid } = job.spec;
+    const writes: Write[] = [{ put: key.active(uid), value }];
+    const when: Condition[] = [
+      { key: key.active(uid), revision: 0 },
+      { key: key.final(uid), revision: 0 },
+    ];
+    const clearing = this.acceptanceCondition();
+    if (clearing !== null) when.push(clearing);
     const currentSince = this.now();
-    const result = await this.client.transact(
-      CALL.acceptance,
-      [
-        { key: key.active(spec.uid), revision: 0 },
-        { key: key.final(spec.uid), revision: 0 },
-      ],
-      writes,
-    );
-    if (!result.ok) {
-      return this.#ifKnown(spec.uid, { kind: 'undecided', reason: 'submitted twice at once' });
+    const result = await this.client.transact(CALL.acceptance, when, writes);
+    if (result.ok) {
+      this.cache.applyOwn(writes, result.epoch);
+      const answer = { kind: 'active', job, revision: result.epoch } as const;
+      return { kind: 'accepted', reading: { answer, currentSince } };
     }
-    this.cache.applyOwn(writes, result.epoch);
-    const answer = { kind: 'active', job, revision: result.epoch } as const;
-    return { kind: 'accepted', reading: { answer, currentSince } };
+    // The reading brings the cache up to date, and with it the condition.
+    const reading = await this.reader.read(uid);
+    if (reading.answer.kind !== 'missing') return { kind: 'known', reading };
+    const onlyCleared = result.failed.every((failed) => failed === clearing?.key);
+    if (onlyCleared && tries > 1) return this.#writeAcceptance(job, value, tries - 1);
+    return { kind: 'undecided', reason: 'submitted twice at once' };
   }
 
   /** Long lists of machine types are cut to those that exist, to fit a value's size. */
--- a/src/wire/schemas.ts
+++ b/src/wire/schemas.ts
@@ -1,3 +1,4 @@
+import type { Condition, Write } from '@sumacstep/duties';
 import * as z from 'zod';
 import { NAME_LIMIT, TASKS_LIMIT } from '../constants.js';
 import type {
@@ -246,7 +247,12 @@
 
 // --- state service ---
 const revision = z.number().int().nonnegative();
-export const entry = z.object({ K: z.string(), Value: z.unknown().optional(), Stamp: revision });
+export const entry = z.object({
+  K: z.string(),
+  Value: z.unknown().optional(),
+  Stamp: revision,
+  Permit: z.number().nullish(),
+});
 export const missing = z.object({ Epoch: revision });
 export const entries = z.object({
   Entries: z.array(entry),
@@ -271,13 +277,7 @@
   ),
 });
 
-export type Write =
-  | { readonly put: string; readonly value: unknown; readonly lease?: number }
-  | { readonly drop: string };
-export interface Condition {
-  readonly key: string;
-  readonly revision: number;
-}
+export type { Condition, Write };
 export const transactionBody = (when: readonly Condition[], writes: readonly Write[]): unknown => ({
   When: when.map((c) => ({ K: c.key, Stamp: c.revision })),
   Writes: writes.map((w) => {
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -5,8 +5,6 @@
 import { Completions } from '../src/parts/completions.js';
 import type { PlatformConfig } from '../src/config/platform.js';
 import { HELD_READ_MS, MACHINES_MS, PROGRESS_MS, SAVE_MS } from '../src/constants.js';
-import type { Part } from '../src/core/part.js';
-import type { Owned } from '../src/parts/part-controller.js';
 import { MachineRecords } from '../src/parts/machine-records.js';
 import { encodeDone } from '../src/core/jobs.js';
 import { StateTrouble, type Outcome } from '../src/state/client.js';
@@ -14,7 +12,7 @@
 import { encodeActive, encodeGroup } from '../src/state/keys.js';
 import { WatchCache } from '../src/state/watch-cache.js';
 import type { Condition, Write } from '../src/wire/schemas.js';
-import { job, machine, partWith, Store } from './helpers.js';
+import { job, machine, ownedPart, partWith, Store } from './helpers.js';
 import { FakeWorker, World } from './standins/worker.js';
 
 /** What the state service is asked for, and how much of it: its limits are small and shared. */
@@ -44,16 +42,6 @@
   };
   return { cache, written, client, show };
 };
-const own = (part: Part): Owned => ({
-  part,
-  revision: 1,
-  suspended: false,
-  saving: false,
-  lastSave: 0,
-  lastProgress: 0,
-  fresh: false,
-  claiming: new Set(),
-});
 
 test('a wave of boots costs one write, and so does one of returns', async () => {
   const { cache, written, client, show } = scene();
@@ -78,7 +66,7 @@
     () => now,
     LOG,
   );
-  await records.tick(0, own(part), now);
+  await records.tick(0, ownedPart(part), now);
   assert.deepEqual(
     written.map((w) => w.length),
     [1],
@@ -86,10 +74,10 @@
   assert.ok(names.every((n) => cache.machines.get(n)?.value.up === true));
   part.sync({ jobs: store.jobs, done: () => undefined, machines: cache.machines }, now);
   records.returned(names);
-  await records.tick(0, own(part), now);
+  await records.tick(0, ownedPart(part), now);
   assert.equal(written.length, 1, 'not at once: more may come');
   now += MACHINES_MS;
-  await records.tick(0, own(part), now);
+  await records.tick(0, ownedPart(part), now);
   assert.deepEqual(written.slice(1), [[{ drop: 'machines/rental-1' }]]);
   assert.equal(cache.machines.size, 0);
 });
@@ -101,7 +89,7 @@
   show(records.map((r) => [`active/${r.spec.uid}`, encodeActive(r)]));
   const part = partWith(new Store().add(...records));
   const completions = new Completions(CONFIG, client, cache, () => 0, LOG);
-  const owned = own(part);
+  const owned = ownedPart(part);
   const finish = (uid: string, index: number) => {
     const j = part.jobs.get(uid)!;
     j.waiting = j.waiting.filter((i) => i !== index);
@@ -198,7 +186,7 @@
   show();
   const part = partWith(new Store().add(record));
   const state = part.jobs.get('job-000001')!;
-  const owned = own(part);
+  const owned = ownedPart(part);
   let now = 0;
   const completions = new Completions(CONFIG, client, cache, () => now, LOG);
   const save = async (index: number) => {
@@ -252,7 +240,7 @@
     };
     const records = new MachineRecords(CONFIG, client, cache, current, () => 0, LOG);
     const { type, zone, spot } = group;
-    await records.adopt(own(partWith(new Store())), { part: 0, type, zone, spot }, 'x');
+    await records.adopt(ownedPart(partWith(new Store())), { part: 0, type, zone, spot }, 'x');
     assert.equal(written.length, adopted ? 1 : 0, name);
   }
 });
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,5 +1,8 @@
+import { Authorization, fencingToken, Refusals } from '@sumacstep/duties';
+import pino from 'pino';
 import type { JobRecord, JobSpec, MachineRecord, MachineType, Team } from '../src/core/model.js';
 import { Part, type PartSettings } from '../src/core/part.js';
+import type { Owned } from '../src/parts/part-controller.js';
 
 export const machineType = (over: Partial<MachineType> = {}): MachineType => ({
   name: 'm',
@@ -134,3 +137,33 @@
 memory_mb = 242.0
 max_sockets = 1500
 `;
+
+/** Counts refusals, and logs nowhere. */
+export const silentRefusals = (): Refusals =>
+  new Refusals(() => Promise.resolve(null), pino({ level: 'silent' }));
+
+/** The right to act under a token, as long as `holds` says. */
+export const authorization = (
+  duty: string,
+  token: number,
+  revision: number,
+  holds: () => boolean = () => true,
+): Authorization => {
+  const condition = { key: duty, revision };
+  return new Authorization(
+    { duty, token: fencingToken(token), condition, holds },
+    silentRefusals(),
+  );
+};
+
+/** A part as its controller holds it, whose record has revision 1. */
+export const ownedPart = (part: Part): Owned => ({
+  part,
+  authorization: authorization(`parts/${part.index}`, part.term, 1),
+  suspended: false,
+  saving: false,
+  lastSave: 0,
+  lastProgress: 0,
+  fresh: false,
+  claiming: new Set(),
+});
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -7,12 +7,11 @@
 import { cutRanges, decodeDone, encodeDone, rangeMost } from '../src/core/jobs.js';
 import type { JobRecord } from '../src/core/model.js';
 import type { Part } from '../src/core/part.js';
-import type { Owned } from '../src/parts/part-controller.js';
 import { CALL, StateClient, StateTrouble, type Outcome } from '../src/state/client.js';
 import { encodeActive } from '../src/state/keys.js';
 import { WatchCache } from '../src/state/watch-cache.js';
 import type { Condition, Write } from '../src/wire/schemas.js';
-import { job, partWith, PLATFORM, Store } from './helpers.js';
+import { job, ownedPart, partWith, PLATFORM, Store } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
 import { FakeStateService } from './standins/state.js';
 
@@ -103,19 +102,9 @@
     stateLimits: { rps: 1, writeRps: 1, valueBytes, transactionOps },
   } as unknown as PlatformConfig;
   const completions = new Completions(config, client, cache, () => world.now, LOG);
-  const own = (part: Part): Owned => ({
-    part,
-    revision: 1,
-    suspended: false,
-    saving: false,
-    lastSave: 0,
-    lastProgress: 0,
-    fresh: false,
-    claiming: new Set(),
-  });
   const save = async (part: Part) => {
     world.now += PROGRESS_MS + SAVE_MS;
-    await completions.save(0, own(part), world.now);
+    await completions.save(0, ownedPart(part), world.now);
     show();
   };
   /** What a node that starts now knows to be done, whichever of two copies it meets first. */
--- a/test/part-controller.test.ts
+++ b/test/part-controller.test.ts
@@ -18,7 +18,7 @@
 import { encodeActive, encodeGroup } from '../src/state/keys.js';
 import { WatchCache } from '../src/state/watch-cache.js';
 import type { Write } from '../src/wire/schemas.js';
-import { job, machine, machineType, settings } from './helpers.js';
+import { job, machine, machineType, settings, silentRefusals } from './helpers.js';
 
 const CONFIG = {
   node: 'n0',
@@ -82,6 +82,7 @@
       imagesOf: () => new Map(),
       cancellationsKnownUntil: () => world.knownUntil,
     },
+    silentRefusals(),
     () => new Map([['m', machineType()]]),
     () => [],
     () => world.now,
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -1,12 +1,13 @@
+import { NotEntitledError, RecordedIntent } from '@sumacstep/duties';
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
-import { CloudClient, CloudTrouble } from '../src/cloud/client.js';
+import { CloudClient } from '../src/cloud/client.js';
 import { CborClient } from '../src/http.js';
 import { InboundConnections, shareSockets } from '../src/sockets.js';
 import { toBytes } from '../src/wire/cbor.js';
-import { job, LEASE_MS, machine, partWith, Store } from './helpers.js';
+import { authorization, job, LEASE_MS, machine, partWith, Store } from './helpers.js';
 import { StandInServer } from './standins/server.js';
 import { FakeWorker, World } from './standins/worker.js';
 
@@ -92,8 +93,9 @@
     const cloud = new CloudClient(server.address, 1, () => now);
     let may = true;
     const rental = { request: 'r', type: 'm', zone: 'z', spot: false, count: 1 };
-    const call = () =>
-      what === 'rent' ? cloud.rent(rental, () => may) : cloud.giveBack(['a'], () => may);
+    const held = authorization('parts/0', 1, 1, () => may);
+    const intent = RecordedIntent.found(held, { key: 'hires/0/r', revision: 2 });
+    const call = () => (what === 'rent' ? cloud.rent(rental, intent) : cloud.giveBack(['a'], held));
     try {
       await call();
       const before = asked.length;
@@ -101,7 +103,7 @@
       const waiting = call();
       may = false;
       now = 60_000;
-      await assert.rejects(waiting, CloudTrouble);
+      await assert.rejects(waiting, NotEntitledError);
       assert.equal(asked.length, before, 'nothing was sent');
     } finally {
       cloud.close();
--- a/test/standins/user-node.ts
+++ b/test/standins/user-node.ts
@@ -125,6 +125,7 @@
         random: () => 0,
       },
       { teams: settings().teams, parts: 1, valueBytes: this.valueBytes, loadThreshold: 0.85 },
+      () => null,
       steadyMs,
     );
     this.#jobs = jobs;
