Commands for duties, and loopback cases that freeze, end and replace holders

Change: sumacstep duties show, hand-over, withdraw (--json; exit 1 without the state service, 2 for bad input, 3 for another's request); controllers of the present sources in processes of their own, which can be frozen.

--- /dev/null
+++ b/packages/duties/test/parts.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  Authorization,
+  candidateOrder,
+  expiredRevision,
+  fencingToken,
+  LeaseValidity,
+  NOTHING_OBSERVED,
+  observe,
+  RecordedIntent,
+  Refusals,
+  StoreUnavailableError,
+  type DutyView,
+  type FencingToken,
+} from '@sumacstep/duties';
+
+const LEASE = { ttlMs: 6000, clockDrift: 0.001, marginMs: 500 };
+
+/** The store counts 6000 ms from the renewal's arrival; a holder's clock may run fast or slow by 0.05 %. */
+test('a lease is provably alive for less than the store keeps it, whatever the clocks do', () => {
+  for (const drift of [-0.0005, 0, 0.0005]) {
+    for (const travelMs of [0, 5, 2000]) {
+      const lease = new LeaseValidity(LEASE);
+      const steady = (ms: number) => ms * (1 + drift);
+      lease.extend(steady(0), steady(2 * travelMs));
+      const storeEndsAt = travelMs + LEASE.ttlMs;
+      for (let at = 2 * travelMs; at < storeEndsAt + 100; at += 1) {
+        if (lease.valid(steady(at))) assert.ok(at < storeEndsAt, `${drift} ${travelMs} ${at}`);
+      }
+      assert.ok(travelMs > 1000 || lease.valid(steady(5000)), 'and for most of it');
+    }
+  }
+});
+
+test('a lease that ran out in between is valid since its next renewal', () => {
+  const lease = new LeaseValidity(LEASE);
+  lease.extend(0, 10);
+  lease.extend(3000, 3010);
+  assert.equal(lease.validSince, 10, 'without a break');
+  lease.extend(20_000, 20_005);
+  assert.equal(lease.validSince, 20_005);
+  lease.end();
+  assert.equal(lease.valid(20_006), false);
+});
+
+test('retention: only time that was observed counts, and a revision expires after all of it', () => {
+  const options = { keepMs: 16_000, clockDrift: 0.001 };
+  let record = observe(NOTHING_OBSERVED, 0, 100, options);
+  const expiredAfter: (number | null)[] = [];
+  for (let round = 1; round <= 20; round++) {
+    record = observe(record, 1002, 100 + round, options);
+    expiredAfter.push(expiredRevision(record, options.keepMs));
+  }
+  assert.deepEqual(expiredAfter.slice(0, 15), Array(15).fill(null));
+  assert.deepEqual(expiredAfter.slice(15), [100, 101, 102, 103, 104]);
+  assert.ok(record.marks.length <= 18, `${record.marks.length} marks`);
+  const back = observe(record, -5_000_000, 200, options);
+  assert.equal(back.observedMs, record.observedMs, 'a clock that goes back observes nothing');
+});
+
+test('candidates: who gave a duty away comes last, who holds fewer comes first', () => {
+  const member = (node: string) => ({ node, incarnation: 'x', revision: 1, knowsDuties: true });
+  const holding = (node: string | null, former: string | null) => ({
+    revision: 1,
+    value: {
+      holder: node === null ? null : { node, incarnation: 'x' },
+      former,
+      token: fencingToken(1),
+      sinceMs: 0,
+    },
+  });
+  const view = (records: DutyView['records']): DutyView => ({
+    members: ['a', 'b', 'c'].map(member),
+    records,
+    requests: new Map(),
+  });
+  const free = candidateOrder(view(new Map()), 'd');
+  assert.deepEqual([...free].sort(), ['a', 'b', 'c']);
+  const [first, second] = free as [string, string];
+  const busy = candidateOrder(view(new Map([['other', holding(first, null)]])), 'd');
+  assert.equal(busy.at(-1), first);
+  const former = candidateOrder(view(new Map([['d', holding(null, second)]])), 'd');
+  assert.equal(former.at(-1), second);
+});
+
+test('refusals: one line with both tokens for a replaced holder, none while nobody replaced it', async () => {
+  const rows: [string, () => Promise<number | null>, number | null, number | null][] = [
+    ['told by the refuser', () => Promise.resolve(null), 9, 9],
+    ['read from the store', () => Promise.resolve(8), null, 8],
+    ['still the newest', () => Promise.resolve(7), null, null],
+    ['store out', () => Promise.reject(new StoreUnavailableError('out')), null, null],
+  ];
+  for (const [name, currentToken, told, logged] of rows) {
+    const lines: object[] = [];
+    const log = { info: (fields: object) => void lines.push(fields), debug: () => undefined };
+    const refusals = new Refusals(currentToken, log);
+    refusals.note({ duty: 'd', token: fencingToken(7), refusedBy: 'store' }, told);
+    await refusals.settled();
+    const line = { duty: 'd', token: 7, newerToken: logged, refusedBy: 'store', refusals: 1 };
+    assert.deepEqual(lines, logged === null ? [] : [line], name);
+    const counts = { replaced: logged === null ? 0 : 1, leaseInDoubt: logged === null ? 1 : 0 };
+    assert.deepEqual(refusals.counts, counts, name);
+  }
+});
+
+test('what acts needs a token: a bare number or an intent that is not recorded will not do', () => {
+  const act = (token: FencingToken): number => token;
+  // @ts-expect-error a number is no token
+  assert.equal(act(3), 3);
+  assert.equal(act(fencingToken(3)), 3);
+  for (const wrong of [-1, 0.5, NaN, 2 ** 60]) assert.throws(() => fencingToken(wrong), RangeError);
+  const condition = { key: 'duties/holders/d', revision: 1 };
+  const tenure = { duty: 'd', token: fencingToken(3), condition, holds: () => true };
+  const log = { info: () => undefined, debug: () => undefined };
+  const authorization = new Authorization(tenure, new Refusals(() => Promise.resolve(null), log));
+  assert.throws(() => RecordedIntent.found(authorization, { key: 'intent', revision: 0 }));
+  assert.equal(RecordedIntent.found(authorization, { key: 'intent', revision: 4 }).key, 'intent');
+});
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,14 +1,14 @@
 #!/usr/bin/env node
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
+import { requestHandOver, showDuties, withdrawHandOver } from './commands/duties.js';
+import { CommandError, EXIT } from './commands/exit-codes.js';
 import { loadDuties } from './config/duties.js';
 import { loadOperator } from './config/operator.js';
 import { ConfigError, loadPlatform } from './config/platform.js';
 import { openLog } from './log.js';
 import { Service } from './service.js';
 
-const EXIT_SETTINGS = 2;
-
 interface Options {
   readonly config: string;
   readonly operator?: string;
@@ -42,7 +42,7 @@
 
 const complain = (problems: readonly string[]): never => {
   for (const p of problems) process.stderr.write(`sumacstep: ${p}\n`);
-  process.exit(EXIT_SETTINGS);
+  process.exit(EXIT.badInput);
 };
 
 const serve = async (options: Options): Promise<void> => {
@@ -81,4 +81,62 @@
   check,
 );
 
+/** Runs a command's work, and turns its failure into one line and an exit code. */
+const run = async (work: () => Promise<string>): Promise<void> => {
+  try {
+    process.stdout.write(await work());
+  } catch (error) {
+    if (error instanceof ConfigError)
+      return complain(error.problems.map((p) => `${error.file}: ${p}`));
+    if (!(error instanceof CommandError)) throw error;
+    process.stderr.write(`sumacstep: ${error.message}\n`);
+    process.exitCode = error.code;
+  }
+};
+
+interface CommandOptions {
+  readonly config: string;
+  readonly json?: boolean;
+}
+
+const withCommandOptions = (command: Command): Command =>
+  command
+    .requiredOption('--config <file>', 'settings of the platform (TOML)')
+    .option('--json', 'print JSON');
+
+const print = (value: unknown, text: string, json: boolean | undefined): string =>
+  json === true ? `${JSON.stringify(value, null, 2)}\n` : `${text}\n`;
+
+const duties = program.command('duties').description('exclusive duties: who holds them');
+
+withCommandOptions(
+  duties.command('show', { isDefault: true }).description('who holds which duty, until when'),
+).action((options: CommandOptions) =>
+  run(() => showDuties(loadPlatform(options.config), options.json === true)),
+);
+
+withCommandOptions(duties.command('hand-over <duty>'))
+  .description('ask that a duty goes to another node')
+  .option('--to <node>', 'the node; any other one if not given')
+  .option('--id <id>', 'name of the request: asking twice with the same one is one request')
+  .action((duty: string, options: CommandOptions & { to?: string; id?: string }) =>
+    run(async () => {
+      const id = options.id ?? `request-${Date.now().toString(36)}`;
+      const config = loadPlatform(options.config);
+      const output = await requestHandOver(config, duty, { to: options.to ?? null, id });
+      const text = output.written ? `asked: ${id}` : `asked before: ${id}`;
+      return print(output, text, options.json);
+    }),
+  );
+
+withCommandOptions(duties.command('withdraw <duty>'))
+  .description('take back a request that is not carried out yet')
+  .action((duty: string, options: CommandOptions) =>
+    run(async () => {
+      const withdrawn = await withdrawHandOver(loadPlatform(options.config), duty);
+      const text = withdrawn ? 'withdrawn' : 'there is no request, or it was just carried out';
+      return print({ duty, withdrawn }, text, options.json);
+    }),
+  );
+
 await program.parseAsync();
--- a/src/state/watch.ts
+++ b/src/state/watch.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { FOLLOW_BLOCK_MS, LIST_PAGE, STATE_PAUSE_MS } from '../constants.js';
 import { StateTrouble, type Change, type StateClient } from './client.js';
-import { CACHED_PREFIXES } from './keys.js';
+import { CACHED_PREFIXES, type Prefix } from './keys.js';
 
 /** One answer of the watch: what changed, and up to which epoch everything is known. */
 export interface WatchBatch {
@@ -46,7 +46,7 @@
     const began = now();
     try {
       if (since === null) {
-        const listing: WatchBatch = await listAll(client);
+        const listing: WatchBatch = await listPrefixes(client, CACHED_PREFIXES);
         yield { ...listing, began };
         since = listing.epoch;
       } else {
@@ -69,12 +69,18 @@
   }
 }
 
-/** Pages are read at different epochs, so changes are followed from the first one's. */
-const listAll = async (client: WatchClient): Promise<WatchBatch> => {
+/**
+ * Everything under some prefixes. Pages are read at different epochs, so changes are followed from the first
+ * one's.
+ */
+export const listPrefixes = async (
+  client: Pick<StateClient, 'list'>,
+  prefixes: readonly Prefix[],
+): Promise<WatchBatch> => {
   const changes: Change[] = [];
   let from = Infinity;
   let whole = 0;
-  for (const prefix of CACHED_PREFIXES) {
+  for (const prefix of prefixes) {
     let since: string | null = null;
     for (;;) {
       const page = await client.list(prefix, since, LIST_PAGE);
--- /dev/null
+++ b/test/duty-commands.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, test } from 'node:test';
+import { dutyKey, handOverKey, type DutyRecord } from '@sumacstep/duties';
+import { stringify } from 'smol-toml';
+import type { DutiesOutput } from '../src/commands/duties.js';
+import { parseDuties } from '../src/config/duties.js';
+import { ConfigError } from '../src/config/platform.js';
+import { RECLAIM } from '../src/duties/duty-controller.js';
+import { Cluster } from './standins/cluster.js';
+
+/** The program as an operator starts it, while controllers end, requests meet and the state service is out. */
+const MAIN = join(import.meta.dirname, '../../main.js');
+
+const platformFile = (state: string): unknown => ({
+  node: 'n0',
+  site: 'z',
+  serve_on: '127.0.0.1:1',
+  peer_bind: '127.0.0.1:2',
+  known: ['n1', 'n2'].map((node) => ({ node, site: 'z', endpoint: '127.0.0.1:3' })),
+  services: { cloud: '127.0.0.1:4', state },
+  settings: {
+    nodes: 3,
+    zones: ['z'],
+    workers: { report_s: 1, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 20 },
+    state: { rps: 600, write_rps: 300, value_kb: 8, txn_ops: 8 },
+    cloud: { rps: 60, list_lag_s: 0.2 },
+    quota: { cores: 1, memory_mb: 200, max_sockets: 1000 },
+  },
+});
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+const withCommands = async (
+  state: string,
+  play: (run: (...args: string[]) => Promise<Run>) => Promise<void>,
+): Promise<void> => {
+  const folder = mkdtempSync(join(tmpdir(), 'duties-'));
+  const config = join(folder, 'platform.toml');
+  writeFileSync(config, stringify(platformFile(state)));
+  const run = (...args: string[]): Promise<Run> =>
+    new Promise((resolve) => {
+      const all = [MAIN, 'duties', ...args, '--config', config];
+      execFile(process.execPath, all, (error, out, err) => {
+        resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
+      });
+    });
+  try {
+    await play(run);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+};
+
+describe('sumacstep duties', () => {
+  test('shows holders during a failover, and hands over by request', async () => {
+    const duties = parseDuties('', '');
+    const c = new Cluster({ runMs: 500, leaseS: 10, cancelS: 20, duties });
+    const record = () => c.stored(dutyKey(RECLAIM)) as DutyRecord | undefined;
+    try {
+      await c.open();
+      await c.until('held', 20, () => record() !== undefined);
+      const partsOwned = () => ['0', '1', '2'].every((i) => c.stored(`parts/${i}`) !== undefined);
+      await c.until('all parts are owned', 20, partsOwned);
+      await withCommands(c.state.address, async (run) => {
+        const first = record()!;
+        const shown = JSON.parse((await run('--json')).out) as DutiesOutput;
+        const reclaim = shown.duties.find((d) => d.duty === RECLAIM)!;
+        assert.equal(reclaim.holder, first.holder!.node);
+        assert.equal(reclaim.token, first.token);
+        assert.equal(reclaim.until.kind, 'lease_renewed');
+        assert.equal(shown.parts.length, 3);
+
+        c.kill(first.holder!.node);
+        const seen = new Set<string>();
+        await c.until('another holder is shown', 20, async () => {
+          const now = JSON.parse((await run('--json')).out) as DutiesOutput;
+          const status = now.duties.find((d) => d.duty === RECLAIM)!;
+          seen.add(`${status.until.kind} ${status.token}`);
+          return status.token === first.token + 1 && status.until.kind === 'lease_renewed';
+        });
+        assert.ok(seen.has(`lease_renewed ${first.token}`), 'until its lease ends');
+
+        const to = c.names.find((n) => n !== first.holder!.node && n !== record()!.holder!.node)!;
+        const asked = await Promise.all([
+          run('hand-over', RECLAIM, '--to', to, '--id', 'same'),
+          run('hand-over', RECLAIM, '--to', to, '--id', 'same'),
+        ]);
+        assert.deepEqual(
+          asked.map((r) => r.code),
+          [0, 0],
+          'the same id is one request',
+        );
+        await c.until(`${to} holds it`, 20, () => record()?.holder?.node === to);
+        const text = (await run('show')).out;
+        assert.match(text, /^DUTY +HOLDER +TOKEN +SINCE +UNTIL +HAND-OVER\n/);
+        assert.match(text, new RegExp(`^reclaim +${to} +${record()!.token} `, 'm'));
+
+        // The node that ended: the request waits, visibly, until it is withdrawn.
+        const gone = first.holder!.node;
+        assert.equal((await run('hand-over', RECLAIM, '--to', gone, '--id', 'a')).code, 0);
+        const other = await run('hand-over', RECLAIM, '--to', gone, '--id', 'b');
+        assert.equal(other.code, 3);
+        assert.match(other.err, /another request waits \(a\)/);
+        assert.match(
+          (await run()).out,
+          new RegExp(`to ${gone} \\(a\\), waits for ${gone} to live`),
+        );
+        assert.equal((await run('withdraw', RECLAIM)).code, 0);
+        assert.equal(c.stored(handOverKey(RECLAIM)), undefined);
+      });
+    } finally {
+      c.close();
+    }
+  });
+
+  test('bad input is named and changes nothing; without the state service nothing is shown', async () => {
+    await withCommands('127.0.0.1:9', async (run) => {
+      const bad: [string[], RegExp][] = [
+        [['hand-over', 'rent'], /no such duty: rent \(reclaim, clear\)/],
+        [['hand-over', RECLAIM, '--to', 'n7'], /no such node: n7 \(n0, n1, n2\)/],
+        [['withdraw', 'rent'], /no such duty: rent/],
+      ];
+      for (const [args, says] of bad) {
+        const { code, err } = await run(...args);
+        assert.equal(code, 2, args.join(' '));
+        assert.match(err, says);
+      }
+      for (const args of [[], ['--json'], ['hand-over', RECLAIM], ['withdraw', RECLAIM]]) {
+        const { code, out, err } = await run(...args);
+        assert.equal(code, 1, args.join(' '));
+        assert.equal(out, '');
+        assert.match(err, /^sumacstep: the state service: /);
+      }
+    });
+  });
+
+  test('settings: each bad key is named', () => {
+    const text = '[clear]\nfinal_keep_h = 0\nfinal_keep = 3\n[returns]\nrecord = maybe\n[x]\ny = 1';
+    try {
+      parseDuties('duties.ini', text);
+      assert.fail('accepted');
+    } catch (error) {
+      assert.ok(error instanceof ConfigError);
+      const problems = error.problems.join('\n');
+      for (const key of ['clear.final_keep_h', 'final_keep"', 'returns.record', '"x"']) {
+        assert.ok(problems.includes(key), `${key} in ${problems}`);
+      }
+    }
+  });
+});
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -167,6 +167,11 @@
   loseAnswer = false;
   /** ms that the answer to a rental takes; the machines are there at once */
   slowRentalMs = 0;
+  /** names in the calls that returned machines, in order */
+  readonly returned: string[] = [];
+  /** returns are on their way until this is set to false: then they are carried out */
+  #holdsReturns = false;
+  readonly #heldReturns: (readonly string[])[] = [];
   /** machines at once; more are refused */
   most = Infinity;
 
@@ -219,10 +224,35 @@
       }
       return { status: 200, body: { Hosts: names } };
     }
-    for (const name of (r.body as { Hosts: string[] }).Hosts) this.kill(name);
+    const { Hosts: names } = r.body as { Hosts: string[] };
+    if (this.#holdsReturns) {
+      this.#heldReturns.push(names);
+      return 'hang';
+    }
+    this.#giveBack(names);
     return { status: 200, body: {} };
   }
 
+  set holdsReturns(holds: boolean) {
+    this.#holdsReturns = holds;
+    if (!holds) for (const names of this.#heldReturns.splice(0)) this.#giveBack(names);
+  }
+
+  /** machines in returns that are on their way */
+  get heldReturns(): readonly string[] {
+    return this.#heldReturns.flat();
+  }
+
+  #giveBack(names: readonly string[]): void {
+    this.returned.push(...names);
+    for (const name of names) this.kill(name);
+  }
+
+  /** A rental that no controller knows of. */
+  bootUnknown(): Promise<string> {
+    return this.#boot(false, this.zones[0]!);
+  }
+
   async #boot(spot: boolean, zone: string): Promise<string> {
     this.#count += 1;
     const name = `vm-${String(this.#count).padStart(6, '0')}`;
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -1,12 +1,18 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { DutiesConfig } from '../../src/config/duties.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
 import { partOfTeam } from '../../src/core/jobs.js';
 import type { Team } from '../../src/core/model.js';
 import { CborClient, type Answer } from '../../src/http.js';
 import { AnswerHistory, type UserCall } from './answer-history.js';
 import { FakeCloud, type WorkerHost } from './cloud.js';
-import { createController, type Controller, type Version } from './controllers.js';
+import {
+  createController,
+  ProcessController,
+  type Controller,
+  type Version,
+} from './controllers.js';
 import { Link } from './link.js';
 import { nextLoopbackAddress } from './loopback.js';
 import { FakeStateService, StateDoor } from './state.js';
@@ -28,6 +34,8 @@
   readonly seed?: Readonly<Record<string, unknown>>;
   /** version of each node at the start, by name; the present one if not given */
   readonly versions?: Readonly<Record<string, Version>>;
+  /** settings of the exclusive duties; off if not given */
+  readonly duties?: DutiesConfig;
 }
 
 /** What the version in production reads of the limits: it knows none that are announced. */
@@ -138,8 +146,10 @@
   async start(node: string, version: Version = 'current'): Promise<void> {
     await this.#ending.get(node);
     const config = this.#configs.get(node)!;
-    const settings = version === 'current' ? config : { ...config, stateLimits: PRODUCTION_LIMITS };
-    const controller: Controller = createController(version, settings, () => {
+    const old = version === 'production';
+    const settings = old ? { ...config, stateLimits: PRODUCTION_LIMITS } : config;
+    const duties = this.options.duties ?? null;
+    const controller: Controller = createController(version, settings, duties, () => {
       this.crashes += 1;
       setTimeout(() => {
         if (this.#controllers.get(node) === controller) void this.start(node, version);
@@ -156,6 +166,23 @@
     this.#ending.set(node, controller.kill());
   }
 
+  /** Settings of a node, as the platform would hand them over. */
+  configOf(node: string): PlatformConfig {
+    return this.#configs.get(node)!;
+  }
+
+  /** The process of a node that was started as one. */
+  processOf(node: string): ProcessController {
+    const controller = this.#controllers.get(node);
+    assert.ok(controller instanceof ProcessController, `${node} has a process of its own`);
+    return controller;
+  }
+
+  /** What the state service holds under a key. */
+  stored(key: string): unknown {
+    return this.state.items.get(key)?.value;
+  }
+
   /** Ends a node and starts it again with the given version. */
   async replace(node: string, version: Version, awayMs = 300): Promise<void> {
     this.kill(node);
--- a/test/standins/controllers.ts
+++ b/test/standins/controllers.ts
@@ -3,6 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import pino from 'pino';
 import { parseOperator } from '../../src/config/operator.js';
+import type { DutiesConfig } from '../../src/config/duties.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
 import { Service } from '../../src/service.js';
 
@@ -14,14 +15,19 @@
   kill(): Promise<void>;
 }
 
-export type Version = 'current' | 'production';
+/** The present sources in the process of the test or in one of their own, or the version in production. */
+export type Version = 'current' | 'current-process' | 'production';
+
+/** A line that a controller in a process of its own logged. */
+export type LogLine = Readonly<Record<string, unknown>> & { readonly msg: string };
 
 /** The present sources, in the process of the test. */
 class CurrentController implements Controller {
   readonly #service: Service;
 
-  constructor(config: PlatformConfig) {
-    this.#service = new Service(config, parseOperator('', ''), pino({ level: 'silent' }));
+  constructor(config: PlatformConfig, duties: DutiesConfig | null) {
+    const log = pino({ level: 'silent' });
+    this.#service = new Service(config, parseOperator('', ''), log, duties);
   }
 
   start(): Promise<void> {
@@ -34,27 +40,45 @@
   }
 }
 
-/** The version in production, in a process of its own since it may end by itself. */
-class ProductionController implements Controller {
+/** A controller in a process of its own: it may end by itself, and can be frozen. */
+export class ProcessController implements Controller {
   #process: ChildProcess | null = null;
+  readonly log: LogLine[] = [];
 
   constructor(
-    private readonly config: PlatformConfig,
+    private readonly entry: 'production-process.js' | 'controller-process.js',
+    private readonly settings: unknown,
     private readonly onCrash: () => void,
   ) {}
 
   async start(): Promise<void> {
-    const entry = fileURLToPath(new URL('./production-process.js', import.meta.url));
+    const entry = fileURLToPath(new URL(`./${this.entry}`, import.meta.url));
     const child = fork(entry, { serialization: 'advanced', stdio: 'ignore' });
     this.#process = child;
+    child.on('message', (message) => {
+      if (typeof message === 'object') this.log.push(message as LogLine);
+    });
     child.once('exit', () => {
       if (this.#process === child) this.onCrash();
     });
-    const begun = Promise.race([once(child, 'message'), once(child, 'exit')]);
-    child.send(this.config);
+    const begun = Promise.race([this.#listening(child), once(child, 'exit')]);
+    child.send(this.settings as object);
     await begun;
   }
 
+  #listening(child: ChildProcess): Promise<void> {
+    return new Promise((resolve) => {
+      child.on('message', (message) => {
+        if (message === 'listening') resolve();
+      });
+    });
+  }
+
+  /** The process stands still, with its connections and clocks as they are, or goes on. */
+  freeze(frozen: boolean): void {
+    this.#process?.kill(frozen ? 'SIGSTOP' : 'SIGCONT');
+  }
+
   async kill(): Promise<void> {
     const child = this.#process;
     this.#process = null;
@@ -69,6 +93,15 @@
 export const createController = (
   version: Version,
   config: PlatformConfig,
+  duties: DutiesConfig | null,
   onCrash: () => void,
-): Controller =>
-  version === 'current' ? new CurrentController(config) : new ProductionController(config, onCrash);
+): Controller => {
+  switch (version) {
+    case 'current':
+      return new CurrentController(config, duties);
+    case 'current-process':
+      return new ProcessController('controller-process.js', { config, duties }, onCrash);
+    case 'production':
+      return new ProcessController('production-process.js', config, onCrash);
+  }
+};
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -174,6 +174,8 @@
 
 /** One node's way to the state service, which can treat it otherwise than the others. */
 export class StateDoor extends StandInServer {
+  /** told of every transaction that arrives here */
+  seen: ((request: Request) => void) | null = null;
   /** every call gets 503, and open watches wait, while other nodes are served */
   refusing = false;
   /** ms that each answer takes longer */
@@ -203,6 +205,7 @@
   }
 
   async #pass(r: Request): Promise<Reply> {
+    if (r.path === '/multi') this.seen?.(r);
     if (this.refusing) return { status: 503, body: { error: 'trouble' } };
     if (this.slowMs > 0) await sleep(this.slowMs);
     if (r.path === '/multi' && this.slowWritesMs > 0) await sleep(this.slowWritesMs);
