--- /dev/null
+++ b/packages/duties/test/manager.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setImmediate as turn } from 'node:timers/promises';
+import {
+  DutyManager,
+  dutyKey,
+  fencingToken,
+  Refusals,
+  StoreUnavailableError,
+  type Condition,
+  type DutyView,
+  type Outcome,
+} from '@sumacstep/duties';
+
+const ME = { node: 'a', incarnation: 'one' };
+const member = (node: string, revision: number) => ({
+  node,
+  incarnation: 'one',
+  revision,
+  knowsDuties: true,
+});
+
+/** A manager whose transactions are kept, and answered by the test. */
+const scene = (holder: string, living: readonly string[]) => {
+  const sent: { when: readonly Condition[]; answer: (outcome: Outcome | Error) => void }[] = [];
+  const record = {
+    holder: { node: holder, incarnation: 'one' },
+    former: null,
+    token: fencingToken(4),
+    sinceMs: 0,
+  };
+  const view: DutyView = {
+    members: living.map((node, i) => member(node, 10 + i)),
+    records: new Map([['d', { value: record, revision: 7 }]]),
+    requests: new Map(),
+  };
+  const log = { info: () => undefined, debug: () => undefined };
+  const manager = new DutyManager(
+    { me: ME, duties: ['d'], graceMs: 0, memberKey: (m) => `nodes/${m.node}/${m.incarnation}` },
+    {
+      store: {
+        transact: (_urgency, when) =>
+          new Promise((resolve, reject) => {
+            const answer = (outcome: Outcome | Error) =>
+              outcome instanceof Error ? reject(outcome) : resolve(outcome);
+            sent.push({ when, answer });
+          }),
+      },
+      view: () => view,
+      authority: () => true,
+      committed: () => undefined,
+      now: () => 0,
+      timeOfDay: () => 0,
+      refusals: new Refusals(() => Promise.resolve(null), log),
+      log,
+    },
+  );
+  return { manager, sent };
+};
+
+test('a takeover depends on the record, the own life, and the end of the former one', () => {
+  const { manager, sent } = scene('b', ['a', 'c']);
+  manager.tick();
+  assert.deepEqual(sent[0]?.when, [
+    { key: dutyKey('d'), revision: 7 },
+    { key: 'nodes/a/one', revision: 10 },
+    { key: 'nodes/b/one', revision: 0 },
+  ]);
+});
+
+test('while the outcome of a hand-over is unknown its sender does not act, and repeats it', async () => {
+  const { manager, sent } = scene('a', ['a', 'c']);
+  const authorization = manager.authorize('d');
+  assert.ok(authorization !== null && authorization.holds());
+  manager.release('d');
+  assert.equal(authorization.holds(), false, 'not from here on');
+  assert.equal(manager.authorize('d'), null);
+  sent[0]!.answer(new StoreUnavailableError('no answer'));
+  await turn();
+  assert.equal(authorization.holds(), false, 'it may be carried out yet');
+  manager.tick();
+  assert.deepEqual(sent[1]!.when, sent[0]!.when, 'the same again');
+  sent[1]!.answer({ ok: false, failed: ['nodes/c/one'] });
+  await turn();
+  assert.ok(authorization.holds(), 'refused, so no copy of it can be carried out any more');
+});
--- /dev/null
+++ b/test/measurements/duty-takeover.ts
@@ -0,0 +1,89 @@
+/**
+ * Measures how long duties are without a holder after its end, and what they cost the state service. Three
+ * controllers on loopback; the holder ends again and again. Usage: duty-takeover ROUNDS REPORT.html
+ */
+import { writeFileSync } from 'node:fs';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { dutyKey, type DutyRecord } from '@sumacstep/duties';
+import { parseDuties, type DutiesConfig } from '../../src/config/duties.js';
+import { RECLAIM } from '../../src/duties/duty-controller.js';
+import type { PartRecord } from '../../src/state/keys.js';
+import { Cluster } from '../standins/cluster.js';
+import type { Version } from '../standins/controllers.js';
+import { htmlReport, machineText, Series } from './report.js';
+
+const IDLE_MS = 20_000;
+const SETTLE_MS = 1500;
+const POLL_MS = 5;
+
+const [roundsText = '20', file = 'target/duty-takeover.html'] = process.argv.slice(2);
+const rounds = Number(roundsText);
+
+const ownerOf = (c: Cluster, key: string): string | null => {
+  const value = c.stored(key) as PartRecord | DutyRecord | undefined;
+  if (value === undefined) return null;
+  return 'owner' in value ? value.owner : (value.holder?.node ?? null);
+};
+
+/** ms from the end of a key's holder until the store names another one. */
+const takeover = async (c: Cluster, key: string, version: Version): Promise<number> => {
+  const holder = ownerOf(c, key)!;
+  c.kill(holder);
+  const ended = performance.now();
+  while (ownerOf(c, key) === holder) await sleep(POLL_MS);
+  const passed = performance.now() - ended;
+  await c.start(holder, version);
+  await c.until(`${holder} is ready`, 40, () => c.ready(holder));
+  await sleep(SETTLE_MS);
+  return passed;
+};
+
+interface Measured {
+  readonly parts: Series;
+  readonly duty: Series | null;
+  readonly requestsPerS: number;
+}
+
+const measure = async (
+  name: string,
+  version: Version,
+  duties: DutiesConfig | undefined,
+): Promise<Measured> => {
+  const versions = { n0: version, n1: version, n2: version };
+  const options = { runMs: 1000, leaseS: 18, cancelS: 38, versions };
+  const c = new Cluster(duties === undefined ? options : { ...options, duties });
+  const parts = new Series(`owner of a part, ${name}`);
+  const duty = duties === undefined ? null : new Series(`holder of a duty, ${name}`);
+  try {
+    await c.open();
+    await c.until('parts are owned', 30, () => ownerOf(c, 'parts/0') !== null);
+    if (duty !== null) await c.until('held', 30, () => ownerOf(c, dutyKey(RECLAIM)) !== null);
+    await sleep(SETTLE_MS);
+    const before = c.state.requests;
+    await sleep(IDLE_MS);
+    const requestsPerS = ((c.state.requests - before) * 1000) / IDLE_MS;
+    for (let round = 0; round < rounds; round++) {
+      parts.add(await takeover(c, 'parts/0', version));
+      if (duty !== null) duty.add(await takeover(c, dutyKey(RECLAIM), version));
+    }
+    return { parts, duty, requestsPerS };
+  } finally {
+    c.close();
+  }
+};
+
+const old = await measure('version before', 'production', undefined);
+const off = await measure('duties off', 'current', undefined);
+const on = await measure('duties on', 'current', parseDuties('', '[clear]\nenabled = true'));
+const series = [old.parts, off.parts, on.parts, ...(on.duty === null ? [] : [on.duty])];
+const counts = {
+  'state requests a second, version before': old.requestsPerS,
+  'duties off': off.requestsPerS,
+  'duties on': on.requestsPerS,
+};
+const settings = { controllers: 3, 'takeovers of each series': rounds, 'node lease': '6 s' };
+const plot = { title: 'From the end of a holder to the next one', unit: 'ms', series };
+writeFileSync(file, await htmlReport('Takeover of parts and duties', settings, [plot], counts));
+for (const s of series) process.stdout.write(`${JSON.stringify(s.summary())}\n`);
+process.stdout.write(`${JSON.stringify({ machine: machineText(), ...counts })}\n`);
+process.exit(0);
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -23,6 +23,8 @@
   #waiting: (() => void)[] = [];
   #timer: NodeJS.Timeout | null = null;
   out = false;
+  /** requests that came in */
+  requests = 0;
   /** what a value, a transaction and a second may hold; they may fall at any moment */
   limits = { valueBytes: 65_536, transactionOps: 1000, writeRps: Infinity };
   /** transactions refused for their size, and for their number */
@@ -75,6 +77,7 @@
   }
 
   async handle(r: Request): Promise<Reply> {
+    this.requests += 1;
     if (this.out) return { status: 503, body: { error: 'trouble' } };
     if (r.path === '/multi') return this.#multi(r.body as never);
     if (r.path === '/leases') {
