--- /dev/null
+++ b/packages/shares/test/moves.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  advance,
+  decodeMove,
+  ends,
+  parseRequest,
+  requested,
+  requestProblems,
+  select,
+  type Candidate,
+  type Move,
+} from '@sumacstep/shares';
+
+const REQUEST = { id: 'a', from: 0, to: 1, count: 2, deadlineMs: 1000 };
+const move = (over: Partial<Move> = {}): Move => ({ ...requested(parseRequest(REQUEST)), ...over });
+const BACK: Partial<Move> = { direction: 'back', state: 'moving', moved: ['x', 'y'] };
+
+describe('steps of a move', () => {
+  const rows: [string, Move, number, string | null, Partial<Move> | null][] = [
+    ['begins', move(), 0, null, { state: 'preparing' }],
+    ['waits, and says for what', move(), 0, 'an owner', { waitsFor: 'an owner' }],
+    ['says it once', move({ waitsFor: 'an owner' }), 0, 'an owner', null],
+    ['is given up before it began', move(), 1000, 'an owner', { state: 'aborted' }],
+    ['while machines move, owners act', move({ state: 'moving', moved: ['x'] }), 999, null, null],
+    [
+      'all have moved',
+      move({ state: 'moving', moved: ['x', 'y'] }),
+      2000,
+      null,
+      { state: 'finished' },
+    ],
+    [
+      'all have moved, to come back',
+      move({ state: 'moving', moved: ['x', 'y'], returnAtMs: 5000 }),
+      999,
+      null,
+      { state: 'lent' },
+    ],
+    ['is lent', move({ state: 'lent', moved: ['x', 'y'], returnAtMs: 5000 }), 4999, null, null],
+    [
+      'goes back at its time',
+      move({ state: 'lent', moved: ['x', 'y'], returnAtMs: 5000 }),
+      5000,
+      null,
+      { state: 'preparing', direction: 'back', abortAsked: false },
+    ],
+    [
+      'some have moved at the deadline: they go back',
+      move({ state: 'moving', chosen: ['y'], moved: ['x'] }),
+      1000,
+      null,
+      { state: 'preparing', direction: 'back', chosen: [], moved: ['x'], abortAsked: true },
+    ],
+    [
+      'is aborted by request while some have moved',
+      move({ state: 'moving', moved: ['x'], abortAsked: true }),
+      0,
+      null,
+      { state: 'preparing', direction: 'back' },
+    ],
+    ['no deadline on the way back', move(BACK), 9_999_999, null, null],
+    ['all are back', move({ ...BACK, moved: [] }), 0, null, { state: 'finished' }],
+    [
+      'all are back from a move that was given up',
+      move({ ...BACK, moved: [], abortAsked: true }),
+      0,
+      null,
+      { state: 'aborted' },
+    ],
+    ['is over', move({ state: 'aborted' }), 9_999_999, 'an owner', null],
+  ];
+  for (const [name, before, nowMs, obstacle, changes] of rows) {
+    test(name, () => {
+      const after = advance(before, { nowMs, obstacle });
+      assert.deepEqual(after, changes === null ? null : { ...before, ...changes });
+      // Stored and read again it is the same, and the step is not taken twice.
+      if (after === null) return;
+      assert.deepEqual(decodeMove(JSON.parse(JSON.stringify(after))), after);
+      assert.equal(advance(after, { nowMs: Math.min(nowMs, 999), obstacle }), null);
+    });
+  }
+});
+
+const machine = (name: string, over: Partial<Candidate> = {}): Candidate => ({
+  name,
+  type: 'm',
+  zone: 'z',
+  spot: false,
+  tasks: 0,
+  endless: false,
+  unfit: null,
+  settled: false,
+  ...over,
+});
+
+describe('choice of machines', () => {
+  const silent = { unfit: 'cannot be reached' };
+  const rows: [string, Move, Candidate[], number, string[], string[], string | null][] = [
+    [
+      'least work first',
+      move(),
+      [machine('a', { tasks: 3 }), machine('b'), machine('c', { tasks: 1 })],
+      9,
+      ['b', 'c'],
+      [],
+      'the work on b, c',
+    ],
+    [
+      'chosen before stay chosen',
+      move({ chosen: ['a'] }),
+      [machine('a', { tasks: 3 }), machine('b'), machine('c')],
+      9,
+      ['a', 'b'],
+      [],
+      'the work on a, b',
+    ],
+    [
+      'settled ones are ready',
+      move({ chosen: ['a', 'b'] }),
+      [machine('a', { settled: true }), machine('b', { tasks: 1 })],
+      9,
+      ['a', 'b'],
+      ['a'],
+      'the work on b',
+    ],
+    [
+      'at most so many at a time',
+      move(),
+      [machine('a'), machine('b')],
+      1,
+      ['a'],
+      [],
+      'the work on a',
+    ],
+    [
+      'of the kind alone',
+      move({ filter: { type: null, zone: 'y', spot: true } }),
+      [machine('a', { zone: 'y' }), machine('b', { spot: true })],
+      9,
+      [],
+      [],
+      '2 more machines of the kind',
+    ],
+    ['not what is silent', move(), [machine('a', silent)], 9, [], [], 'a: cannot be reached'],
+    [
+      'not under a standing service',
+      move(),
+      [machine('a', { endless: true })],
+      9,
+      [],
+      [],
+      'a: a standing service runs there',
+    ],
+    [
+      'on the way back the moved ones alone',
+      move({ ...BACK, moved: ['b'] }),
+      [machine('a'), machine('b', { endless: true })],
+      9,
+      ['b'],
+      [],
+      'the work on b',
+    ],
+  ];
+  for (const [name, present, machines, most, chosen, ready, waitsFor] of rows) {
+    test(name, () => {
+      assert.deepEqual(select(present, machines, most), { chosen, ready, waitsFor });
+    });
+  }
+});
+
+test('ends swap on the way back; bad requests are named by field', () => {
+  assert.deepEqual(ends(move()), { source: 0, target: 1 });
+  assert.deepEqual(ends(move(BACK)), { source: 1, target: 0 });
+  const bad: [object, string][] = [
+    [{ ...REQUEST, count: -1 }, 'count'],
+    [{ ...REQUEST, to: 0 }, 'to'],
+    [{ ...REQUEST, id: 'a b' }, 'id'],
+    [{ ...REQUEST, from: 0.5 }, 'from'],
+    [{ ...REQUEST, returnAtMs: 900 }, 'returnAtMs'],
+    [{ ...REQUEST, filter: { colour: 'red' } }, 'filter'],
+  ];
+  for (const [request, field] of bad) {
+    const [problem = ''] = requestProblems(request);
+    assert.ok(problem.startsWith(`${field}:`), `${field}: ${problem}`);
+  }
+  assert.deepEqual(requestProblems(REQUEST), []);
+});
--- a/src/commands/duties.ts
+++ b/src/commands/duties.ts
@@ -95,7 +95,7 @@
 };
 
 const checkDuty = (duty: string): void => {
-  if (DUTY_NAMES.includes(duty)) return;
+  if ((DUTY_NAMES as readonly string[]).includes(duty)) return;
   throw new CommandError(EXIT.badInput, `no such duty: ${duty} (${DUTY_NAMES.join(', ')})`);
 };
 
--- /dev/null
+++ b/src/commands/shares.ts
@@ -0,0 +1,254 @@
+import {
+  decodeLock,
+  decodeMove,
+  encodeLock,
+  isOver,
+  matches,
+  moveKey,
+  parseRequest,
+  partLockKey,
+  requested,
+  requestProblems,
+  type Move,
+  type MoveRequest,
+} from '@sumacstep/shares';
+import type { PlatformConfig } from '../config/platform.js';
+import { hasGuarantee, hasLimit, partOfTeam } from '../core/jobs.js';
+import type { MachineRecord } from '../core/model.js';
+import { movesIn, obstacleOf } from '../shares/mover.js';
+import { CALL } from '../state/client.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import { CommandError, EXIT } from './exit-codes.js';
+import { StoreAccess } from './store-access.js';
+import { table } from './table.js';
+
+/** tries of a request that meets another one at the same moment */
+const TRIES = 3;
+/** bytes of a stored move besides the names of its machines */
+const MOVE_BYTES = 700;
+/** bytes of a machine's name in a move, which may stand among the chosen and among the moved ones */
+const NAME_BYTES = 40;
+
+/** Machines of one kind in a part. */
+interface KindCount {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly machines: number;
+}
+
+/** One part's share of the machines. */
+export interface Share {
+  readonly part: number;
+  readonly owner: string | null;
+  readonly term: number | null;
+  readonly machines: number;
+  readonly kinds: readonly KindCount[];
+}
+
+/** What `sumacstep shares show --json` prints. */
+export interface SharesOutput {
+  readonly shares: readonly Share[];
+  readonly moves: readonly Move[];
+}
+
+/** What a move would do, told before anything happens. */
+export interface PlanOutput {
+  readonly request: MoveRequest;
+  /** machines of the part that match, by their records; as many as `count` of them move */
+  readonly matching: readonly string[];
+  /** fewer machines match than are asked for: the rest would be waited for until the deadline */
+  readonly lacking: number;
+  /** the target's part would get a newer term: what waits there starts again once its machines have answered */
+  readonly renewsTerm: boolean;
+  /** teams that live whole in the source's part, since they have a limit or a guarantee */
+  readonly teamsOfSource: readonly string[];
+  /** jobs with tasks in the source's part; no task is stopped for the move */
+  readonly jobsInSource: number;
+  /** a move that holds one of the parts now */
+  readonly heldBy: string | null;
+  /** what would have to be waited for first */
+  readonly obstacle: string | null;
+}
+
+const withStore = async <T>(
+  config: PlatformConfig,
+  work: (store: StoreAccess) => Promise<T>,
+): Promise<T> => {
+  const store = new StoreAccess(config);
+  try {
+    return await work(store);
+  } finally {
+    store.close();
+  }
+};
+
+const machinesOf = (cache: WatchCache, part: number): MachineRecord[] =>
+  [...cache.machines.values()].map((m) => m.value).filter((record) => record.part === part);
+
+const kindsOf = (machines: readonly MachineRecord[]): KindCount[] => {
+  const kinds = new Map<string, KindCount>();
+  for (const { type, zone, spot } of machines) {
+    const name = `${type} ${zone} ${spot}`;
+    const count = (kinds.get(name)?.machines ?? 0) + 1;
+    kinds.set(name, { type, zone, spot, machines: count });
+  }
+  return [...kinds.values()];
+};
+
+const shareOf = (cache: WatchCache, part: number): Share => {
+  const owner = cache.tables['parts/'].get(String(part))?.value;
+  const machines = machinesOf(cache, part);
+  return {
+    part,
+    owner: owner?.owner ?? null,
+    term: owner?.term ?? null,
+    machines: machines.length,
+    kinds: kindsOf(machines),
+  };
+};
+
+const time = (ms: number | null): string => (ms === null ? '-' : new Date(ms).toISOString());
+
+const render = ({ shares, moves }: SharesOutput): string => {
+  const parts = shares.map((share) => [
+    String(share.part),
+    share.owner ?? '-',
+    String(share.machines),
+    share.kinds.map((k) => `${k.machines} ${k.type} ${k.zone}${k.spot ? ' spot' : ''}`).join(', '),
+  ]);
+  const rows = moves.map((move) => [
+    move.id,
+    `${move.from} -> ${move.to}`,
+    `${move.moved.length} of ${move.count}`,
+    move.direction === 'back' ? `${move.state}, back` : move.state,
+    time(move.deadlineMs),
+    time(move.returnAtMs),
+    move.waitsFor ?? '-',
+  ]);
+  const text = table(['PART', 'OWNER', 'MACHINES', 'KINDS'], parts);
+  if (rows.length === 0) return text;
+  const titles = ['MOVE', 'PARTS', 'MOVED', 'STATE', 'DEADLINE', 'RETURN', 'WAITS FOR'];
+  return `${text}\n${table(titles, rows)}`;
+};
+
+/** Who has which machines, and what moves. */
+export const showShares = (config: PlatformConfig, json: boolean): Promise<string> =>
+  withStore(config, async (store) => {
+    const cache = await store.read(['parts/', 'machines/', 'shares/']);
+    const shares = Array.from({ length: config.nodes }, (_, part) => shareOf(cache, part));
+    const moves = [...movesIn(cache.tables).values()].map(({ value }) => value);
+    const output: SharesOutput = { shares, moves };
+    return json ? `${JSON.stringify(output, null, 2)}\n` : render(output);
+  });
+
+/** Reads a request as an operator wrote it; throws a `CommandError` that names each bad field. */
+export const checkRequest = (
+  config: PlatformConfig,
+  value: unknown,
+  nowMs: number,
+): MoveRequest => {
+  const problems = requestProblems(value);
+  if (problems.length === 0) {
+    const request = parseRequest(value);
+    for (const field of ['from', 'to'] as const) {
+      const part = request[field];
+      if (part >= config.nodes) problems.push(`${field}: no such part: ${part}`);
+    }
+    if (request.deadlineMs <= nowMs) problems.push('deadlineMs: is past');
+    const most = Math.floor((config.stateLimits.valueBytes - MOVE_BYTES) / NAME_BYTES);
+    if (request.count > most) problems.push(`count: one move holds ${most} machines at most`);
+  }
+  if (problems.length > 0) throw new CommandError(EXIT.badInput, problems.join('\n'));
+  return parseRequest(value);
+};
+
+/** The move that holds one of the parts; null if none does. */
+const holderOf = (cache: WatchCache, { from, to }: MoveRequest): string | null => {
+  for (const { value } of cache.tables['shares/'].values()) {
+    if (value.kind === 'lock' && (value.part === from || value.part === to)) return value.move;
+  }
+  return null;
+};
+
+/** What a move would do and disrupt. Nothing is written. */
+export const planMove = (config: PlatformConfig, request: MoveRequest): Promise<PlanOutput> =>
+  withStore(config, async (store) => {
+    const cache = await store.read(['parts/', 'nodes/', 'machines/', 'shares/', 'active/']);
+    const matching = machinesOf(cache, request.from).filter((m) => matches(request.filter, m));
+    const term = (part: number) => cache.tables['parts/'].get(String(part))?.value.term ?? 0;
+    const jobs = [...cache.tables['active/'].values()];
+    return {
+      request,
+      matching: matching.map((m) => m.name),
+      lacking: Math.max(0, request.count - matching.length),
+      renewsTerm: term(request.to) <= term(request.from),
+      teamsOfSource: [...config.teams.values()]
+        .filter((team) => hasLimit(team) || hasGuarantee(team))
+        .filter((team) => partOfTeam(team.name, config.nodes) === request.from)
+        .map((team) => team.name),
+      jobsInSource: jobs.filter((j) => j.value.ranges.some((r) => r.part === request.from)).length,
+      heldBy: holderOf(cache, request),
+      obstacle: obstacleOf(cache.tables, requested(request)),
+    };
+  });
+
+/** What became of a request. */
+export interface MoveOutput {
+  readonly move: Move;
+  /** false: the same request stood there already */
+  readonly written: boolean;
+}
+
+/**
+ * Asks for a move. The same id is the same move. It takes both parts at once, or nothing: a move that holds one of
+ * them is a conflict, named.
+ */
+export const requestMove = (config: PlatformConfig, request: MoveRequest): Promise<MoveOutput> =>
+  withStore(config, async (store) => {
+    const key = moveKey(request.id);
+    const locks = [partLockKey(request.from), partLockKey(request.to)];
+    for (let tries = 0; tries < TRIES; tries++) {
+      const found = await store.attempt(() => store.client.get(key, CALL.read));
+      if (!('missing' in found)) {
+        const move = decodeMove(found.value);
+        if (move !== null) return { move, written: false };
+        throw new CommandError(EXIT.conflict, `${request.id}: a move of another version`);
+      }
+      const move = requested(request);
+      const when = [key, ...locks].map((name) => ({ key: name, revision: 0 }));
+      const lock = encodeLock(request.id);
+      const writes = [{ put: key, value: move }, ...locks.map((put) => ({ put, value: lock }))];
+      const result = await store.attempt(() => store.client.transact(CALL.rest, when, writes));
+      if (result.ok) return { move, written: true };
+      const held = result.failed.find((name) => locks.includes(name));
+      if (held === undefined) continue;
+      const holder = await store.attempt(() => store.client.get(held, CALL.read));
+      if ('missing' in holder) continue;
+      const id = decodeLock(holder.value) ?? 'one of another version';
+      // An answer that got lost: the lock is this move's own.
+      if (id === request.id) continue;
+      throw new CommandError(EXIT.conflict, `${held}: another move holds it (${id})`);
+    }
+    throw new CommandError(EXIT.conflict, `${request.id}: others write at the same moment`);
+  });
+
+/** Asks that a move is given up: what has moved goes back. */
+export const abortMove = (config: PlatformConfig, id: string): Promise<MoveOutput> =>
+  withStore(config, async (store) => {
+    const key = moveKey(id);
+    for (let tries = 0; tries < TRIES; tries++) {
+      const found = await store.attempt(() => store.client.get(key, CALL.read));
+      const move = 'missing' in found ? null : decodeMove(found.value);
+      if (move === null || 'missing' in found) {
+        throw new CommandError(EXIT.badInput, `no such move: ${id}`);
+      }
+      if (isOver(move) || move.abortAsked) return { move, written: false };
+      const next: Move = { ...move, abortAsked: true };
+      const when = [{ key, revision: found.revision }];
+      const writes = [{ put: key, value: next }];
+      const result = await store.attempt(() => store.client.transact(CALL.rest, when, writes));
+      if (result.ok) return { move: next, written: true };
+    }
+    throw new CommandError(EXIT.conflict, `${id}: it changes faster than it can be aborted`);
+  });
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -134,6 +134,8 @@
 export const CLEAR_ROUND_MS = 10_000;
 /** ms; observed time is written this often. A holder that ends sooner has observed nothing, so not rarely. */
 export const RETENTION_WRITE_MS = 600_000;
+/** ms; what a move waits for is written this often: it changes with every task, and people read it. */
+export const MOVE_REASON_MS = 5000;
 /** tries; an acceptance that met a clearing of final states is written anew. */
 export const ACCEPT_TRIES = 3;
 /** ms; gossip interval between nodes. */
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -131,7 +131,7 @@
     const reason = this.#faultOf(m);
     if (reason !== null) this.#return(m, reason);
     else if (m.condemned) this.#empty(m);
-    else if (m.noticeAt === null) this.#staying.push(m);
+    else if (m.noticeAt === null && !m.moving) this.#staying.push(m);
   }
 
   #faultOf(m: MachineState): ReturnReason | null {
--- a/src/core/commands.ts
+++ b/src/core/commands.ts
@@ -72,13 +72,16 @@
   #forgetsDue(m: MachineState, tasks: readonly Command[], along: boolean, now: number): boolean {
     m.forgettableSince = tasks.length === 0 ? null : (m.forgettableSince ?? now);
     if (m.forgettableSince === null) return false;
-    const due = along || tasks.length >= FORGET_MOST || now - m.forgettableSince >= FORGET_AFTER_MS;
+    // A machine that is to move has to be empty in its worker's eyes, too.
+    const soon = along || m.moving || tasks.length >= FORGET_MOST;
+    const due = soon || now - m.forgettableSince >= FORGET_AFTER_MS;
     if (due) m.forgettableSince = null;
     return due;
   }
 
   #startable(p: Placement, m: MachineState): boolean {
-    return !p.job.over && p.stop === null && !m.returning && !m.leaving && m.noticeAt === null;
+    const open = !m.returning && !m.leaving && !m.moving && m.noticeAt === null;
+    return !p.job.over && p.stop === null && open;
   }
 
   /** Starts and stops that should not wait for the next report, by machine, of `most` machines. */
--- a/src/core/machine-health.ts
+++ b/src/core/machine-health.ts
@@ -82,6 +82,7 @@
       !m.condemned &&
       !m.leaving &&
       !m.returning &&
+      !m.moving &&
       m.noticeAt === null &&
       m.ignoringSince === null &&
       m.foreign === 0 &&
--- a/src/core/part-records.ts
+++ b/src/core/part-records.ts
@@ -115,6 +115,10 @@
   /** its record is gone or another part's, although we have not returned it */
   unrecorded: boolean;
   returning: boolean;
+  /** chosen to move to another part: no starts, what runs goes on */
+  moving: boolean;
+  /** tasks that its newest report lists, ended ones included */
+  listed: number;
   fullUntil: number;
   /** kept for a job; partial: its gang has not enough machines in sight yet */
   hold: { uid: string; until: number; partial: boolean } | null;
--- a/src/core/part-state.ts
+++ b/src/core/part-state.ts
@@ -91,7 +91,11 @@
 
   #syncMachines(view: PartView, now: number): void {
     for (const { value: record } of view.machines.values()) {
-      if (record.part !== this.index) continue;
+      if (record.part !== this.index) {
+        // It may come back, if shares are moved to and fro.
+        this.gone.delete(record.name);
+        continue;
+      }
       const known = this.machines.get(record.name);
       if (known !== undefined) this.#updateRecord(known, record);
       else if (!this.gone.has(record.name)) this.#addMachine(record, now);
@@ -146,6 +150,8 @@
       leaving: false,
       unrecorded: false,
       returning: false,
+      moving: false,
+      listed: 0,
       fullUntil: -Infinity,
       hold: null,
       idleSince: now,
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -17,6 +17,7 @@
 import { Preemption } from './preemption.js';
 import { Reports } from './reports.js';
 
+export { serves } from './part-records.js';
 export type { JobState, MachineState, PartSettings, PartView, Placement } from './part-records.js';
 
 export type HeartbeatResult =
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -30,6 +30,7 @@
     m.session = report.session;
     m.counter = report.counter;
     m.address = report.address;
+    m.listed = report.tasks.length;
     m.lastHeartbeatAt = now;
     if (report.noticeS !== null) m.noticeAt ??= now + report.noticeS * 1000;
     else m.noticeAt = null;
--- a/src/duties/clearing.ts
+++ b/src/duties/clearing.ts
@@ -8,6 +8,7 @@
   type RetentionRecord,
   type Write,
 } from '@sumacstep/duties';
+import { isOver, moveKey } from '@sumacstep/shares';
 import type { Logger } from 'pino';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { DutiesConfig } from '../config/duties.js';
@@ -41,7 +42,7 @@
 type Clearable = Pick<Entry, 'key' | 'revision'>;
 
 /**
- * The duty of clearing old state: final states that are older than their retention time, rentals of parts that
+ * The duty of clearing old state: final states and ended moves that are older than their retention time, rentals of parts that
  * do not exist any more, and node records that no lease holds.
  *
  * How old a final state is follows from its revision: the holder notes which revisions were reached how much
@@ -101,6 +102,7 @@
     if (expired !== null && expired > this.#sweptTo) {
       const cleared = await this.#clearFinals(authorization, expired);
       if (!authorization.holds()) return;
+      await this.#clearMoves(authorization, expired);
       this.#sweptTo = expired;
       if (cleared > 0) this.ports.log.info({ cleared, expired }, 'final states cleared');
     }
@@ -171,6 +173,14 @@
     return this.#transact(authorization, when, [...drops, acceptance]);
   }
 
+  /** Moves of machines that were over before: they are kept for people alone. */
+  async #clearMoves(authorization: Authorization, expired: number): Promise<void> {
+    for (const { value: entry, revision } of this.ports.cache.tables['shares/'].values()) {
+      if (entry.kind !== 'move' || !isOver(entry.move) || revision > expired) continue;
+      if (!(await this.#drop(authorization, { key: moveKey(entry.move.id), revision }))) return;
+    }
+  }
+
   /** Rentals of parts that no setting names and nobody owns. Machines that they got are reclaimed. */
   async #clearHires(authorization: Authorization): Promise<void> {
     const { tables } = this.ports.cache;
--- a/src/duties/duties.ts
+++ b/src/duties/duties.ts
@@ -3,6 +3,8 @@
 import type { CloudClient } from '../cloud/client.js';
 import type { DutiesConfig } from '../config/duties.js';
 import type { PlatformConfig } from '../config/platform.js';
+import type { SharesConfig } from '../config/shares.js';
+import { Mover } from '../shares/mover.js';
 import type { Reclaimer } from '../parts/unrecorded-machines.js';
 import type { StateClient } from '../state/client.js';
 import { dutyEntryKey } from '../state/duty-entries.js';
@@ -36,22 +38,31 @@
 export class Duties {
   readonly #controller: DutyController;
   readonly #clearing: Clearing;
+  readonly #mover: Mover | null;
   readonly #cache: WatchCache;
   /** records returns of parts; null if that is switched off */
   readonly partReturns: ReturnIntents | null;
   /** returns machines that no record knows; null if that is switched off */
   readonly reclaimer: Reclaimer | null;
 
-  constructor(platform: Platform, config: DutiesConfig, incarnation: string, ports: DutiesPorts) {
+  constructor(
+    platform: Platform,
+    config: DutiesConfig,
+    shares: SharesConfig | null,
+    incarnation: string,
+    ports: DutiesPorts,
+  ) {
     const { client, cache } = ports;
     const { valueBytes, transactionOps } = platform.stateLimits;
     this.#cache = cache;
-    this.#controller = new DutyController({ node: platform.node, incarnation }, config, ports);
+    const switched = { ...config, move: shares !== null };
+    this.#controller = new DutyController({ node: platform.node, incarnation }, switched, ports);
     const duties = this.#controller;
     const intents = new ReturnIntents(client, cache, valueBytes);
     this.partReturns = config.recordReturns ? intents : null;
     const reclaiming = new Reclaiming(transactionOps, { ...ports, duties, intents });
     this.reclaimer = config.reclaim ? { reclaiming, intents } : null;
+    this.#mover = shares === null ? null : new Mover({ ...ports, duties });
     this.#clearing = new Clearing(config, {
       ...ports,
       duties,
@@ -65,6 +76,7 @@
   tick(): void {
     this.#controller.tick();
     this.#clearing.tick();
+    this.#mover?.tick();
   }
 
   /** The token of a duty's present tenure as it is known here; null if it never had one. */
--- a/src/duties/duty-controller.ts
+++ b/src/duties/duty-controller.ts
@@ -23,8 +23,10 @@
 export const RECLAIM = 'reclaim';
 /** Clearing old state. */
 export const CLEAR = 'clear';
+/** Moving machines between parts. */
+export const MOVE = 'move';
 /** All duties that exist, whether switched on or not. */
-export const DUTY_NAMES: readonly string[] = [RECLAIM, CLEAR];
+export const DUTY_NAMES = [RECLAIM, CLEAR, MOVE] as const;
 
 const CALL_OF: Readonly<Record<Urgency, CallClass>> = {
   lease: CALL.renew,
@@ -68,10 +70,15 @@
   #view: DutyView | null = null;
   #viewVersion = -1;
 
-  constructor(me: Member, config: DutiesConfig, ports: DutyControllerPorts) {
+  constructor(
+    me: Member,
+    config: Pick<DutiesConfig, 'reclaim' | 'clear'> & { readonly move: boolean },
+    ports: DutyControllerPorts,
+  ) {
     const { client, cache, authority, refusals, now, timeOfDay, log } = ports;
     this.#cache = cache;
-    const duties = [...(config.reclaim ? [RECLAIM] : []), ...(config.clear ? [CLEAR] : [])];
+    const switched = { [RECLAIM]: config.reclaim, [CLEAR]: config.clear, [MOVE]: config.move };
+    const duties = DUTY_NAMES.filter((name) => switched[name]);
     const store: TransactionalStore = {
       transact: (urgency, when, writes) => client.transact(CALL_OF[urgency], when, writes),
     };
--- a/src/parts/machine-records.ts
+++ b/src/parts/machine-records.ts
@@ -1,7 +1,7 @@
 import { fencedTransaction } from '@sumacstep/duties';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
-import { MACHINES_MS, RETURNED_KEPT } from '../constants.js';
+import { GROUP_BYTES, HOST_BYTES, MACHINES_MS, RETURNED_KEPT } from '../constants.js';
 import type { MachineState } from '../core/part-records.js';
 import type { Owned } from './part-controller.js';
 import { CALL, StateTrouble, type StateClient } from '../state/client.js';
@@ -9,6 +9,21 @@
 import type { WatchCache } from '../state/watch-cache.js';
 import type { Condition, Write } from '../wire/schemas.js';
 
+/** Where machines move to, and what is written along with it. */
+export interface MoveTarget {
+  readonly part: number;
+  readonly term: number;
+  /** the target part's record as it is known */
+  readonly condition: Condition;
+  /** the group that they come into */
+  readonly group: string;
+  readonly when: readonly Condition[];
+  readonly writes: (moved: readonly string[]) => readonly Write[];
+}
+
+/** writes of a move besides the groups that machines leave: their new group, and the move itself */
+const MOVE_WRITES = 2;
+
 /**
  * The machine records of the parts that this node owns. They are kept by group, one group a rental,
  * so that a wave of boots or returns costs a few writes instead of one a machine. All changes of a
@@ -184,4 +199,63 @@
     this.cache.applyOwn(writes, result.epoch);
     this.log.info({ machine: name, part: machine.part }, 'machine adopted');
   }
+
+  /**
+   * Moves machines on which nothing is, and where nothing may arrive any more, to another part in one
+   * transaction. As many as it holds go; resolves with their names, none if the records have changed.
+   */
+  async move(
+    owned: Owned,
+    names: readonly string[],
+    target: MoveTarget,
+  ): Promise<readonly string[]> {
+    const { index } = owned.part;
+    if (this.#busy.has(index)) return [];
+    const { groups, moved } = this.#leavingGroups(index, names);
+    const first = moved[0];
+    if (first === undefined) return [];
+    const { type, zone, spot } = this.cache.machines.get(first)!.value;
+    const hosts = new Map(moved.map((name) => [name, true]));
+    const group: MachineGroup = { part: target.part, era: target.term, type, zone, spot, hosts };
+    const put: Write = { put: key.machines(target.group), value: encodeGroup(group) };
+    const writes = [...groups.map((g) => g.write), put, ...target.writes(moved)];
+    const when = [
+      target.condition,
+      { key: key.machines(target.group), revision: 0 },
+      ...groups.map((g) => g.condition),
+      ...target.when,
+    ];
+    return (await this.#write(index, owned, true, when, writes)) ? moved : [];
+  }
+
+  /** The machines of one kind, of as many groups as a transaction holds, and these groups without them. */
+  #leavingGroups(index: number, names: readonly string[]) {
+    const most = this.config.stateLimits.transactionOps - MOVE_WRITES;
+    const room = (this.config.stateLimits.valueBytes - GROUP_BYTES) / HOST_BYTES;
+    const groups = new Map<string, { revision: number; value: MachineGroup; leave: string[] }>();
+    const moved: string[] = [];
+    let kind: string | null = null;
+    for (const name of names) {
+      const at = this.cache.machines.get(name);
+      const record = at === undefined ? undefined : this.cache.tables['machines/'].get(at.group);
+      if (at?.value.part !== index || record === undefined || moved.length >= room) continue;
+      const { type, zone, spot } = at.value;
+      kind ??= `${type} ${zone} ${spot}`;
+      if (kind !== `${type} ${zone} ${spot}`) continue;
+      if (!groups.has(at.group) && groups.size >= most) continue;
+      const { revision, value } = record;
+      const entry = groups.get(at.group) ?? { revision, value, leave: [] };
+      entry.leave.push(name);
+      groups.set(at.group, entry);
+      moved.push(name);
+    }
+    const changes = [...groups].map(([id, { revision, value, leave }]) => {
+      const hosts = new Map([...value.hosts].filter(([name]) => !leave.includes(name)));
+      const name = key.machines(id);
+      const write: Write =
+        hosts.size === 0 ? { drop: name } : { put: name, value: encodeGroup({ ...value, hosts }) };
+      return { condition: { key: name, revision }, write };
+    });
+    return { groups: changes, moved };
+  }
 }
--- a/src/parts/part-controller.ts
+++ b/src/parts/part-controller.ts
@@ -163,6 +163,12 @@
     return new Authorization(tenure, this.refusals);
   }
 
+  /** Takes an own part anew, under a higher term: workers then take its commands after those of another part. */
+  renewTerm(index: number): void {
+    const owned = this.owned.get(index);
+    if (owned !== undefined && this.actsFor(owned)) void this.#take(index);
+  }
+
   termOf(part: number): number | null {
     return this.cache.tables['parts/'].get(String(part))?.value.term ?? null;
   }
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,12 +6,12 @@
 import type { DutiesConfig } from './config/duties.js';
 import type { OperatorConfig } from './config/operator.js';
 import type { PlatformConfig } from './config/platform.js';
+import type { SharesConfig } from './config/shares.js';
 import {
   FEED_SHARE,
   FOLLOW_PAUSE_MS,
   IDLE_LEASES,
   LOOP_MS,
-  SIGHTING_MS,
   SOON_MS,
   STATE_FRESH_MS,
   SUMMARY_MS,
@@ -27,16 +27,18 @@
 import { PartController, type PeerView } from './parts/part-controller.js';
 import { Gossip, type OwnStatus } from './peers/gossip.js';
 import type { PeerStatus } from './peers/frames.js';
-import { PartDirectory, progressIn } from './peers/part-directory.js';
+import { PartDirectory } from './peers/part-directory.js';
 import { randomFrom } from './random.js';
 import { Rentals } from './parts/rentals.js';
 import { Returns } from './parts/returns.js';
 import { UnrecordedMachines } from './parts/unrecorded-machines.js';
 import { HttpServer } from './service/http-server.js';
 import { cloudShare, LimitSharing, stateShare } from './service/limit-sharing.js';
+import { describeParts } from './service/own-parts.js';
 import { Readiness } from './service/readiness.js';
 import { Summary } from './service/summary.js';
 import { shareSockets } from './sockets.js';
+import { ShareOwner } from './shares/share-owner.js';
 import { StateClient } from './state/client.js';
 import { LinearizableReads } from './state/linearizable-reads.js';
 import { nodeSession } from './state/session.js';
@@ -50,6 +52,12 @@
 /** The duty of renting and returning machines of a part: its record is the part's. */
 const PART_DUTY = /^parts\/(\d+)$/;
 
+/** What files under deploy/ switch on; null: off. */
+export interface Features {
+  readonly duties: DutiesConfig | null;
+  readonly shares: SharesConfig | null;
+}
+
 /** One controller: the core wired to state service, cloud, workers, users and the other nodes. */
 export class Service {
   readonly #now = steadyMs;
@@ -63,6 +71,8 @@
   readonly #refusals: Refusals;
   /** null: the duties are switched off */
   readonly #duties: Duties | null;
+  /** null: moves of machines between parts are switched off */
+  readonly #shareOwner: ShareOwner | null;
   readonly #returns: Returns;
   readonly #unrecorded: UnrecordedMachines;
   readonly #learning = new Learning();
@@ -91,7 +101,7 @@
     private readonly config: PlatformConfig,
     private readonly operator: OperatorConfig,
     private readonly log: Logger,
-    dutiesConfig: DutiesConfig | null = null,
+    { duties: dutiesConfig, shares }: Features = { duties: null, shares: null },
   ) {
     const seed = (timeOfDayMs() * 1000 + Math.floor(steadyMs() * 1000) + process.pid) | 0;
     this.#random = randomFrom(seed);
@@ -110,8 +120,12 @@
     this.#limits = new LimitSharing(config, operator, this.#state, this.#cloud);
     this.#summary = new Summary(log);
     this.#server = new HttpServer(log);
-    const knowsDuties = dutiesConfig !== null;
-    const life = { node: config.node, incarnation: this.#incarnation, knowsDuties };
+    const life = {
+      node: config.node,
+      incarnation: this.#incarnation,
+      knowsDuties: dutiesConfig !== null,
+      knowsShares: shares !== null,
+    };
     this.#lease = nodeSession(this.#state, life, this.#now, log);
     this.#refusals = new Refusals((duty) => this.#currentToken(duty), log);
     const others = config.peers.map((p) => p.node);
@@ -151,7 +165,7 @@
     this.#duties =
       dutiesConfig === null
         ? null
-        : new Duties(config, dutiesConfig, this.#incarnation, {
+        : new Duties(config, dutiesConfig, shares, this.#incarnation, {
             client: this.#state,
             cloud: this.#cloud,
             cache: this.#cache,
@@ -162,6 +176,16 @@
             timeOfDay: timeOfDayMs,
             log,
           });
+    this.#shareOwner =
+      shares === null
+        ? null
+        : new ShareOwner(shares, {
+            client: this.#state,
+            cache: this.#cache,
+            partController: this.#partController,
+            now: this.#now,
+            log,
+          });
     this.#returns = new Returns(
       this.#cloud,
       this.#partController,
@@ -306,6 +330,7 @@
     this.#limits.update(ready ? this.#partController.aliveNodes() : this.config.nodes);
     this.#learn();
     this.#returns.markRecorded();
+    this.#shareOwner?.tick();
     this.#partController.tick();
     for (const [index, { part }] of this.#partController.owned) {
       for (const run of part.finishedRuns.splice(0)) this.#learning.ran(run.jobClass, run.runS);
@@ -397,28 +422,11 @@
   }
 
   #status(detailed: boolean, sentAt: number): OwnStatus {
-    const now = this.#now();
-    const sightings = new Map<number, number>();
-    for (const [machine, s] of this.#partController.sighted) {
-      if (now - s.at > SIGHTING_MS) this.#partController.sighted.delete(machine);
-      else sightings.set(s.part, (sightings.get(s.part) ?? 0) + 1);
-    }
-    const jobs: PeerStatus['jobs'] = [];
-    const parts: PeerStatus['parts'] = [];
-    for (const [index, { part }] of this.#partController.owned) {
-      parts.push(this.#directory.describe(index, part, detailed));
-      for (const uid of detailed ? part.jobs.keys() : []) {
-        const { done, running } = progressIn(part, uid);
-        if (done + running > 0) jobs.push({ uid, running, done, part: index });
-      }
-    }
     return {
       cancellations: this.#broadcast.tell(sentAt),
       cancellationsComplete: this.#broadcast.complete(sentAt),
       hasState: this.#hasState(),
-      parts,
-      jobs,
-      sightings: [...sightings].map(([part, workers]) => ({ part, workers })),
+      ...describeParts(this.#partController, this.#directory, detailed, this.#now()),
       classes: this.#learning.runs(),
     };
   }
--- /dev/null
+++ b/src/shares/mover.ts
@@ -0,0 +1,98 @@
+import { fencedTransaction, type Authorization, type Versioned } from '@sumacstep/duties';
+import {
+  advance,
+  isOver,
+  moveKey,
+  partLockKey,
+  type Move,
+  type MoverFacts,
+} from '@sumacstep/shares';
+import type { Logger } from 'pino';
+import { MOVE, type DutyController } from '../duties/duty-controller.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import type { Write } from '../wire/schemas.js';
+
+type Tables = Pick<WatchCache['tables'], 'nodes/' | 'parts/' | 'shares/'>;
+
+/** All moves that the state service holds, by id. */
+export const movesIn = ({ 'shares/': table }: Pick<Tables, 'shares/'>) => {
+  const moves = new Map<string, Versioned<Move>>();
+  for (const { value: entry, revision } of table.values()) {
+    if (entry.kind === 'move') moves.set(entry.move.id, { value: entry.move, revision });
+  }
+  return moves;
+};
+
+/** Whether every living node takes part in moves. */
+export const allKnowShares = ({ 'nodes/': nodes }: Pick<Tables, 'nodes/'>): boolean => {
+  for (const { value } of nodes.values()) if (!value.knowsShares) return false;
+  return nodes.size > 0;
+};
+
+/** Why no step of a move may be taken now; null if nothing stands in the way. */
+export const obstacleOf = (tables: Tables, move: Move): string | null => {
+  if (!allKnowShares(tables)) return 'a node that does not know moves';
+  for (const part of [move.from, move.to]) {
+    const owner = tables['parts/'].get(String(part))?.value;
+    const lives =
+      owner !== undefined && tables['nodes/'].has(`${owner.owner}/${owner.incarnation}`);
+    if (!lives) return `an owner of part ${part}`;
+  }
+  return null;
+};
+
+/** What the duty of moving needs of the process. */
+export interface MoverPorts {
+  readonly duties: Pick<DutyController, 'authorize'>;
+  readonly client: Pick<StateClient, 'transact'>;
+  readonly cache: WatchCache;
+  readonly timeOfDay: () => number;
+  readonly log: Logger;
+}
+
+/** The duty of moving: begins moves, ends them, turns them back at their deadline or at a stated time. */
+export class Mover {
+  readonly #busy = new Set<string>();
+
+  constructor(private readonly ports: MoverPorts) {}
+
+  /** One round, if this node holds the duty. */
+  tick(): void {
+    const { cache, duties, timeOfDay } = this.ports;
+    const moves = movesIn(cache.tables);
+    if (moves.size === 0) return;
+    const authorization = duties.authorize(MOVE);
+    if (authorization === null) return;
+    for (const [id, { value: move, revision }] of moves) {
+      if (isOver(move) || this.#busy.has(id)) continue;
+      const obstacle = obstacleOf(cache.tables, move);
+      const facts: MoverFacts = { nowMs: timeOfDay(), obstacle };
+      const next = advance(move, facts);
+      if (next !== null) void this.#write(authorization, next, revision);
+    }
+  }
+
+  async #write(authorization: Authorization, move: Move, revision: number): Promise<void> {
+    const { client, cache, log } = this.ports;
+    const key = moveKey(move.id);
+    const writes: Write[] = [{ put: key, value: move }];
+    if (isOver(move)) {
+      writes.push({ drop: partLockKey(move.from) }, { drop: partLockKey(move.to) });
+    }
+    this.#busy.add(move.id);
+    try {
+      const when = [{ key, revision }];
+      const outcome = await fencedTransaction(client, authorization, CALL.rest, when, writes);
+      if (!outcome.ok) return;
+      cache.applyOwn(writes, outcome.epoch);
+      const { id, state, direction, waitsFor } = move;
+      log.info({ move: id, state, direction, waitsFor }, 'move of machines');
+    } catch (error) {
+      if (!(error instanceof StateTrouble)) throw error;
+      log.debug({ move: move.id, error: error.message }, 'move not written');
+    } finally {
+      this.#busy.delete(move.id);
+    }
+  }
+}
--- /dev/null
+++ b/src/shares/share-owner.ts
@@ -0,0 +1,206 @@
+import { fencedTransaction, type Versioned } from '@sumacstep/duties';
+import { ends, isOver, moveKey, select, type Candidate, type Move } from '@sumacstep/shares';
+import type { Logger } from 'pino';
+import type { SharesConfig } from '../config/shares.js';
+import { MOVE_REASON_MS } from '../constants.js';
+import { serves, type MachineState, type Part } from '../core/part.js';
+import type { Owned, PartController } from '../parts/part-controller.js';
+import { CALL, StateTrouble, type StateClient } from '../state/client.js';
+import type { WatchCache } from '../state/watch-cache.js';
+import { movesIn, obstacleOf } from './mover.js';
+
+const unfitness = (part: Part, m: MachineState, now: number): string | null => {
+  if (m.returning || m.leaving || m.condemned || m.unrecorded) return 'is to be returned';
+  if (m.noticeAt !== null) return 'has a notice';
+  if (!m.record.up) return 'is not up yet';
+  if (!part.isFresh(m, now) || m.ignoringSince !== null) return 'cannot be reached';
+  return null;
+};
+
+/** A machine as the choice of machines sees it. */
+export const candidateOf = (part: Part, m: MachineState, now: number): Candidate => {
+  const { name, type, zone, spot } = m.record;
+  const unfit = unfitness(part, m, now);
+  const empty = m.tasks.size === 0 && m.foreign === 0 && m.doubtful.size === 0 && m.listed === 0;
+  return {
+    name,
+    type,
+    zone,
+    spot,
+    tasks: m.tasks.size,
+    endless: serves(m),
+    unfit,
+    settled: unfit === null && empty && m.moving,
+  };
+};
+
+const same = (a: readonly string[], b: readonly string[]): boolean =>
+  a.length === b.length && a.every((name, i) => name === b[i]);
+
+/** What the owners' side of moves needs of the process. */
+export interface ShareOwnerPorts {
+  readonly client: Pick<StateClient, 'transact'>;
+  readonly cache: WatchCache;
+  readonly partController: PartController;
+  /** steady ms */
+  readonly now: () => number;
+  readonly log: Logger;
+}
+
+/**
+ * The owners' side of moves. The source's owner chooses machines, starts nothing more on them, and moves each in one
+ * transaction when nothing is there and nothing may arrive any more; the target's owner sees to it that its term is
+ * the higher one, so that workers take its commands.
+ */
+export class ShareOwner {
+  readonly #busy = new Set<string>();
+  /** whether machines may be marked as chosen since an earlier round */
+  #marked = false;
+  /** when the reason of a move was last written, steady ms */
+  readonly #reasonAt = new Map<string, number>();
+
+  constructor(
+    private readonly config: SharesConfig,
+    private readonly ports: ShareOwnerPorts,
+  ) {}
+
+  /** One round over the moves that concern parts of this node. */
+  tick(): void {
+    const { cache, partController } = this.ports;
+    const moves = [...movesIn(cache.tables).values()].filter(({ value }) => !isOver(value));
+    if (moves.length > 0 || this.#marked) this.#mark(moves);
+    this.#marked = moves.length > 0;
+    for (const move of moves) {
+      const { state } = move.value;
+      if (state !== 'preparing' && state !== 'moving') continue;
+      if (obstacleOf(cache.tables, move.value) !== null) continue;
+      const { source, target } = ends(move.value);
+      if (!this.#targetIsNewer(source, target)) partController.renewTerm(target);
+      const owned = partController.owned.get(source);
+      if (owned !== undefined && partController.actsFor(owned)) this.#asSource(move, owned, target);
+    }
+  }
+
+  /**
+   * Machines that are chosen take no new work; others do again. A machine may be let go as soon as the stored
+   * move does not name it: a transaction that would move it depends on the move as it was before.
+   */
+  #mark(moves: readonly Versioned<Move>[]): void {
+    const chosen = new Map<number, Set<string>>();
+    for (const { value: move } of moves) {
+      const { source } = ends(move);
+      const names = chosen.get(source) ?? new Set();
+      for (const name of move.chosen) names.add(name);
+      chosen.set(source, names);
+    }
+    for (const [index, { part }] of this.ports.partController.owned) {
+      const names = chosen.get(index);
+      for (const m of part.machines.values()) m.moving = names?.has(m.record.name) ?? false;
+    }
+  }
+
+  #targetIsNewer(source: number, target: number): boolean {
+    const { partController } = this.ports;
+    return (partController.termOf(target) ?? 0) > (partController.termOf(source) ?? Infinity);
+  }
+
+  #asSource({ value: move, revision }: Versioned<Move>, owned: Owned, target: number): void {
+    if (this.#busy.has(move.id)) return;
+    const { part } = owned;
+    const now = this.ports.now();
+    const present = this.#withoutGone(move, part.index);
+    const machines = [...part.machines.values()].map((m) => candidateOf(part, m, now));
+    const selection = select(present, machines, this.config.emptyingMost);
+    const newer = this.#targetIsNewer(part.index, target);
+    if (newer && selection.ready.length > 0 && move.state === 'moving') {
+      void this.#once(move.id, () =>
+        this.#moveReady(present, revision, owned, target, selection.ready),
+      );
+      return;
+    }
+    const next: Move = {
+      ...present,
+      state: newer && selection.chosen.length > 0 ? 'moving' : 'preparing',
+      chosen: [...selection.chosen],
+      waitsFor: newer ? selection.waitsFor : `a newer term of part ${target}`,
+    };
+    if (this.#worthWriting(move, next, now)) {
+      void this.#once(move.id, () => this.#write(owned, next, revision));
+    }
+  }
+
+  /** On the way back, machines that are gone, or back already, need nothing more. */
+  #withoutGone(move: Move, source: number): Move {
+    if (move.direction === 'forth') return move;
+    const { machines } = this.ports.cache;
+    const moved = move.moved.filter((name) => machines.get(name)?.value.part === source);
+    return { ...move, moved };
+  }
+
+  /** Reasons change with every task: they are written now and then, all else at once. */
+  #worthWriting(old: Move, next: Move, now: number): boolean {
+    const changed =
+      old.state !== next.state || !same(old.chosen, next.chosen) || !same(old.moved, next.moved);
+    if (changed) return true;
+    if (old.waitsFor === next.waitsFor) return false;
+    return now - (this.#reasonAt.get(next.id) ?? -Infinity) >= MOVE_REASON_MS;
+  }
+
+  async #once(id: string, work: () => Promise<void>): Promise<void> {
+    this.#busy.add(id);
+    try {
+      await work();
+    } catch (error) {
+      if (!(error instanceof StateTrouble)) throw error;
+      this.ports.log.debug({ move: id, error: error.message }, 'move not written');
+    } finally {
+      this.#busy.delete(id);
+    }
+  }
+
+  async #write(owned: Owned, move: Move, revision: number): Promise<void> {
+    const { client, cache } = this.ports;
+    const key = moveKey(move.id);
+    const writes = [{ put: key, value: move }];
+    const when = [{ key, revision }];
+    const { authorization } = owned;
+    const outcome = await fencedTransaction(client, authorization, CALL.rest, when, writes);
+    if (!outcome.ok) return;
+    cache.applyOwn(writes, outcome.epoch);
+    this.#reasonAt.set(move.id, this.ports.now());
+  }
+
+  async #moveReady(
+    move: Move,
+    revision: number,
+    owned: Owned,
+    target: number,
+    ready: readonly string[],
+  ): Promise<void> {
+    const { partController, cache, log } = this.ports;
+    const to = cache.tables['parts/'].get(String(target));
+    if (to === undefined) return;
+    const key = moveKey(move.id);
+    const after = (names: readonly string[]): Move => ({
+      ...move,
+      chosen: move.chosen.filter((name) => !names.includes(name)),
+      moved:
+        move.direction === 'forth'
+          ? [...move.moved, ...names]
+          : move.moved.filter((name) => !names.includes(name)),
+    });
+    const moved = await partController.machines.move(owned, ready, {
+      part: target,
+      term: to.value.term,
+      condition: { key: `parts/${target}`, revision: to.revision },
+      group: `moved-${move.id}-${revision}`,
+      when: [{ key, revision }],
+      writes: (names) => [{ put: key, value: after(names) }],
+    });
+    if (moved.length === 0) return;
+    log.info(
+      { move: move.id, from: owned.part.index, to: target, machines: moved },
+      'machines moved',
+    );
+  }
+}
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 import type { JobRecord, JobSpec, MachineRecord } from '../core/model.js';
 import { decodeDutyEntry, type DutyEntry } from './duty-entries.js';
+import { decodeShareEntry, type ShareEntry } from './share-entries.js';
 
 /** The machines of one rental that are in the same part, in one value: they cost one write. */
 export interface MachineGroup extends Omit<MachineRecord, 'name' | 'up'> {
@@ -21,6 +22,7 @@
   'active/',
   'done/',
   'duties/',
+  'shares/',
   'term',
 ] as const;
 export type Prefix = (typeof CACHED_PREFIXES)[number];
@@ -54,13 +56,24 @@
   readonly incarnation: string;
   /** whether this life takes part in exclusive duties; versions that don't know them say nothing */
   readonly knowsDuties: boolean;
+  /** whether this life takes part in moves of machines between parts */
+  readonly knowsShares: boolean;
 }
 
 /** Version of the duties that a node's record names. */
 const DUTIES_VERSION = 1;
 
-export const encodeNode = (incarnation: string, knowsDuties: boolean): unknown =>
-  knowsDuties ? { incarnation, duties: DUTIES_VERSION } : { incarnation };
+/** Version of the moves that a node's record names. */
+const SHARES_VERSION = 1;
+
+/** What a life of a node takes part in. */
+export type Abilities = Pick<NodeRecord, 'knowsDuties' | 'knowsShares'>;
+
+export const encodeNode = (incarnation: string, abilities: Abilities): unknown => ({
+  incarnation,
+  ...(abilities.knowsDuties ? { duties: DUTIES_VERSION } : {}),
+  ...(abilities.knowsShares ? { shares: SHARES_VERSION } : {}),
+});
 export interface HireRecord {
   readonly part: number;
   readonly name: string;
@@ -77,7 +90,11 @@
 
 const int = z.number().int().nonnegative();
 const part = z.object({ owner: z.string(), incarnation: z.string(), term: int });
-const node = z.object({ incarnation: z.string(), duties: z.number().nullish() });
+const node = z.object({
+  incarnation: z.string(),
+  duties: z.number().nullish(),
+  shares: z.number().nullish(),
+});
 const machine = z.object({
   part: int,
   era: int,
@@ -122,6 +139,7 @@
   'nodes/': NodeRecord;
   'hires/': HireRecord;
   'duties/': DutyEntry;
+  'shares/': ShareEntry;
   term: number;
 }
 
@@ -165,14 +183,16 @@
   },
   'parts/': (_, value) => part.parse(value),
   'nodes/': (id, value) => {
-    const { incarnation, duties } = node.parse(value);
+    const { incarnation, duties, shares } = node.parse(value);
+    const name = id.slice(0, id.lastIndexOf('/'));
     const knowsDuties = duties === DUTIES_VERSION;
-    return { node: id.slice(0, id.lastIndexOf('/')), incarnation, knowsDuties };
+    return { node: name, incarnation, knowsDuties, knowsShares: shares === SHARES_VERSION };
   },
   'hires/': (id, value) => {
     const slash = id.indexOf('/');
     return { part: Number(id.slice(0, slash)), name: id.slice(slash + 1), ...hire.parse(value) };
   },
   'duties/': decodeDutyEntry,
+  'shares/': decodeShareEntry,
   term: (_, value) => int.parse(value),
 };
--- a/src/state/session.ts
+++ b/src/state/session.ts
@@ -8,7 +8,7 @@
   LEASE_TTL_MS,
 } from '../constants.js';
 import type { StateClient } from './client.js';
-import { encodeNode, key } from './keys.js';
+import { encodeNode, key, type Abilities } from './keys.js';
 
 const TIMING = {
   ttlMs: LEASE_TTL_MS,
@@ -19,22 +19,21 @@
 };
 
 /** One life of a node, as its record says it. */
-export interface NodeLife {
+export interface NodeLife extends Abilities {
   readonly node: string;
   readonly incarnation: string;
-  readonly knowsDuties: boolean;
 }
 
 /** This node's lease on the state service and the node key attached to it. */
 export const nodeSession = (
   client: Pick<StateClient, 'grant' | 'renew' | 'register'>,
-  { node, incarnation, knowsDuties }: NodeLife,
+  { node, incarnation, ...abilities }: NodeLife,
   now: () => number,
   log: Logger,
 ): SessionLease => {
   const registration = {
     key: key.node(node, incarnation),
-    value: encodeNode(incarnation, knowsDuties),
+    value: encodeNode(incarnation, abilities),
   };
   return new SessionLease(client, registration, TIMING, now, log);
 };
--- a/src/state/watch-cache.ts
+++ b/src/state/watch-cache.ts
@@ -54,6 +54,7 @@
   'nodes/': new Map(),
   'hires/': new Map(),
   'duties/': new Map(),
+  'shares/': new Map(),
   term: new Map(),
 });
 
--- a/test/duty-commands.test.ts
+++ b/test/duty-commands.test.ts
@@ -1,75 +1,25 @@
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { describe, test } from 'node:test';
 import { dutyKey, handOverKey, type DutyRecord } from '@sumacstep/duties';
-import { stringify } from 'smol-toml';
 import type { DutiesOutput } from '../src/commands/duties.js';
 import { parseDuties } from '../src/config/duties.js';
 import { ConfigError } from '../src/config/platform.js';
 import { RECLAIM } from '../src/duties/duty-controller.js';
 import { Cluster } from './standins/cluster.js';
+import { withCommands } from './standins/commands.js';
 
-/** The program as an operator starts it, while controllers end, requests meet and the state service is out. */
-const MAIN = join(import.meta.dirname, '../../main.js');
-
-const platformFile = (state: string): unknown => ({
-  node: 'n0',
-  site: 'z',
-  serve_on: '127.0.0.1:1',
-  peer_bind: '127.0.0.1:2',
-  known: ['n1', 'n2'].map((node) => ({ node, site: 'z', endpoint: '127.0.0.1:3' })),
-  services: { cloud: '127.0.0.1:4', state },
-  settings: {
-    nodes: 3,
-    zones: ['z'],
-    workers: { report_s: 1, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 20 },
-    state: { rps: 600, write_rps: 300, value_kb: 8, txn_ops: 8 },
-    cloud: { rps: 60, list_lag_s: 0.2 },
-    quota: { cores: 1, memory_mb: 200, max_sockets: 1000 },
-  },
-});
-
-interface Run {
-  readonly code: number;
-  readonly out: string;
-  readonly err: string;
-}
-
-const withCommands = async (
-  state: string,
-  play: (run: (...args: string[]) => Promise<Run>) => Promise<void>,
-): Promise<void> => {
-  const folder = mkdtempSync(join(tmpdir(), 'duties-'));
-  const config = join(folder, 'platform.toml');
-  writeFileSync(config, stringify(platformFile(state)));
-  const run = (...args: string[]): Promise<Run> =>
-    new Promise((resolve) => {
-      const all = [MAIN, 'duties', ...args, '--config', config];
-      execFile(process.execPath, all, (error, out, err) => {
-        resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
-      });
-    });
-  try {
-    await play(run);
-  } finally {
-    rmSync(folder, { recursive: true });
-  }
-};
-
+/** The commands of duties while controllers end, requests meet and the state service is out. */
 describe('sumacstep duties', () => {
   test('shows holders during a failover, and hands over by request', async () => {
-    const duties = parseDuties('', '');
-    const c = new Cluster({ runMs: 500, leaseS: 10, cancelS: 20, duties });
+    const features = { duties: parseDuties('', '') };
+    const c = new Cluster({ runMs: 500, leaseS: 10, cancelS: 20, features });
     const record = () => c.stored(dutyKey(RECLAIM)) as DutyRecord | undefined;
     try {
       await c.open();
       await c.until('held', 20, () => record() !== undefined);
       const partsOwned = () => ['0', '1', '2'].every((i) => c.stored(`parts/${i}`) !== undefined);
       await c.until('all parts are owned', 20, partsOwned);
-      await withCommands(c.state.address, async (run) => {
+      await withCommands(c.state.address, 'duties', async (run) => {
         const first = record()!;
         const shown = JSON.parse((await run('--json')).out) as DutiesOutput;
         const reclaim = shown.duties.find((d) => d.duty === RECLAIM)!;
@@ -122,7 +72,7 @@
   });
 
   test('bad input is named and changes nothing; without the state service nothing is shown', async () => {
-    await withCommands('127.0.0.1:9', async (run) => {
+    await withCommands('127.0.0.1:9', 'duties', async (run) => {
       const bad: [string[], RegExp][] = [
         [['hand-over', 'rent'], /no such duty: rent \(reclaim, clear\)/],
         [['hand-over', RECLAIM, '--to', 'n7'], /no such node: n7 \(n0, n1, n2\)/],
--- a/test/measurements/duty-takeover.ts
+++ b/test/measurements/duty-takeover.ts
@@ -51,7 +51,7 @@
 ): Promise<Measured> => {
   const versions = { n0: version, n1: version, n2: version };
   const options = { runMs: 1000, leaseS: 18, cancelS: 38, versions };
-  const c = new Cluster(duties === undefined ? options : { ...options, duties });
+  const c = new Cluster(duties === undefined ? options : { ...options, features: { duties } });
   const parts = new Series(`owner of a part, ${name}`);
   const duty = duties === undefined ? null : new Series(`holder of a duty, ${name}`);
   try {
--- a/test/runner/run-tests.ts
+++ b/test/runner/run-tests.ts
@@ -5,16 +5,18 @@
 import { judge } from './known-red.js';
 
 /**
- * Runs all tests of the folder that is given, prints them as the runner's `spec` reporter does, and judges
+ * Runs all tests of the folders that are given, prints them as the runner's `spec` reporter does, and judges
  * the failures by KNOWN-RED.txt in the working directory if there is one.
  */
 const KNOWN_RED = 'KNOWN-RED.txt';
 
-const [folder] = process.argv.slice(2);
-if (folder === undefined) throw new Error('usage: run-tests FOLDER');
-const files = readdirSync(folder)
-  .filter((name) => name.endsWith('.test.js'))
-  .map((name) => join(folder, name));
+const folders = process.argv.slice(2);
+if (folders.length === 0) throw new Error('usage: run-tests FOLDER [FOLDER ...]');
+const files = folders.flatMap((folder) =>
+  readdirSync(folder)
+    .filter((name) => name.endsWith('.test.js'))
+    .map((name) => join(folder, name)),
+);
 
 const passed = new Set<string>();
 const failed = new Set<string>();
--- /dev/null
+++ b/test/share-commands.test.ts
@@ -0,0 +1,205 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { decodeMove, moveKey, partLockKey, type Move } from '@sumacstep/shares';
+import type { PlanOutput, SharesOutput } from '../src/commands/shares.js';
+import { parseDuties } from '../src/config/duties.js';
+import { parseShares } from '../src/config/shares.js';
+import { Cluster, type ClusterOptions } from './standins/cluster.js';
+import { withCommands, type Run } from './standins/commands.js';
+
+/** Moves as an operator asks for them, on three whole controllers that fail in the middle. */
+const FEATURES = { duties: parseDuties('', ''), shares: parseShares('', '') };
+const LEASE_S = 10;
+type Command = (...args: string[]) => Promise<Run>;
+
+const scene = (
+  name: string,
+  options: Partial<ClusterOptions>,
+  play: (c: Cluster, run: Command) => Promise<void>,
+): void => {
+  test(name, async () => {
+    const c = new Cluster({
+      runMs: 1500,
+      leaseS: LEASE_S,
+      cancelS: 20,
+      features: FEATURES,
+      ...options,
+    });
+    try {
+      await c.open();
+      await c.until('all parts are owned', 20, () =>
+        ['0', '1', '2'].every((i) => c.stored(`parts/${i}`) !== undefined),
+      );
+      await withCommands(c.state.address, 'shares', (run) => play(c, run));
+      assert.deepEqual(c.world.broken, []);
+    } finally {
+      c.close();
+    }
+  });
+};
+
+const moveOf = (c: Cluster, id: string): Move => decodeMove(c.stored(moveKey(id)))!;
+
+const machinesOf = (c: Cluster, part: number): string[] =>
+  [...c.state.items].flatMap(([key, { value }]) => {
+    if (!key.startsWith('machines/')) return [];
+    const group = value as { part: number; hosts: Record<string, number> };
+    return group.part === part ? Object.keys(group.hosts) : [];
+  });
+
+/** Submits until some part has machines; returns that part. */
+const partWithMachines = async (c: Cluster): Promise<number> => {
+  let part = -1;
+  await c.until('a part has machines that are up', 40, () => {
+    part = [0, 1, 2].find((i) => machinesOf(c, i).length > 0) ?? -1;
+    return part >= 0 && c.world.on.size > 0;
+  });
+  return part;
+};
+
+const state = (c: Cluster, id: string, wanted: Move['state'], seconds = 40) =>
+  c.until(`${id} is ${wanted}`, seconds, () => moveOf(c, id).state === wanted);
+
+const done = (c: Cluster, uid: string) =>
+  c.until(`${uid} is done`, 60, async () => (await c.statusOf('n0', uid)) === 'done');
+
+const ownerOf = (c: Cluster, part: number) =>
+  (c.stored(`parts/${part}`) as { owner: string }).owner;
+
+describe('sumacstep shares', () => {
+  scene(
+    'plan changes nothing; a move is one by its id; conflicts are named',
+    {},
+    async (c, run) => {
+      const uid = await c.submit('n0', { Pieces: 8, Spread: false });
+      const from = await partWithMachines(c);
+      const to = (from + 1) % 3;
+      const ends = ['--from', String(from), '--to', String(to), '--count', '1'];
+      const before = c.state.epoch;
+      const planned = await run('plan', ...ends, '--json');
+      const [plan] = JSON.parse(planned.out) as PlanOutput[];
+      assert.deepEqual([plan!.heldBy, plan!.obstacle, plan!.lacking], [null, null, 0]);
+      assert.ok(plan!.matching.length > 0);
+      assert.ok(![...c.state.items.keys()].some((key) => key.startsWith('shares/')), `${before}`);
+
+      const asked = await Promise.all([1, 2].map(() => run('move', ...ends, '--id', 'first')));
+      assert.deepEqual(
+        asked.map((r) => r.code),
+        [0, 0],
+      );
+      const other = await run('move', ...ends, '--id', 'second');
+      if (c.stored(partLockKey(from)) !== undefined) {
+        assert.equal(other.code, 3, other.err);
+        assert.match(other.err, /another move holds it \(first\)/);
+      }
+      await state(c, 'first', 'finished');
+      const shown = JSON.parse((await run('--json')).out) as SharesOutput;
+      assert.equal(shown.moves.find((m) => m.id === 'first')?.moved.length, 1);
+      assert.equal(c.stored(partLockKey(from)), undefined, 'the parts are free again');
+      await done(c, uid);
+    },
+  );
+
+  for (const who of ['source', 'target', 'mover'] as const) {
+    scene(`the ${who}'s process ends right after the request`, {}, async (c, run) => {
+      const uid = await c.submit('n0', { Pieces: 12 });
+      const from = await partWithMachines(c);
+      const to = (from + 1) % 3;
+      await run('move', '--from', `${from}`, '--to', `${to}`, '--count', '1', '--id', 'm');
+      const mover = c.stored('duties/holders/move') as { holder: { node: string } };
+      const node = who === 'mover' ? mover.holder.node : ownerOf(c, who === 'source' ? from : to);
+      c.kill(node);
+      await c.pass(1);
+      await c.start(node);
+      await c.until(`${node} ready`, 30, () => c.ready(node));
+      await c.until('over', 60, () => ['finished', 'aborted'].includes(moveOf(c, 'm').state));
+      const more = await c.submit(node, { Pieces: 6 });
+      await done(c, uid);
+      await done(c, more);
+    });
+  }
+
+  scene(
+    'machines under a standing service stay; at the deadline the shares are as before',
+    { runMs: 1e9 },
+    async (c, run) => {
+      const service = { Shape: 'service', Rank: 'prod', Pieces: 2, Reclaimable: false, GuessS: 0 };
+      const uid = await c.submit('n0', { ...service, Vcpus: 4, Cards: 0 });
+      await c.until('it runs', 40, () => c.running(uid) === 2);
+      const from = await partWithMachines(c);
+      const before = machinesOf(c, from).sort();
+      const ends = ['--from', `${from}`, '--to', `${(from + 1) % 3}`, '--count', '50'];
+      await run('move', ...ends, '--id', 'm', '--within-s', '12');
+      await c.until('it says what it waits for', 12, () => moveOf(c, 'm').waitsFor !== null);
+      assert.match((await run()).out, /a standing service runs there|more machines of the kind/);
+      await state(c, 'm', 'aborted');
+      const kept = machinesOf(c, from).sort();
+      const serving = before.filter((name) => c.cloud.machines.has(name));
+      assert.deepEqual(
+        serving.filter((name) => !kept.includes(name)),
+        [],
+      );
+      assert.equal(c.running(uid), 2, 'no replica was stopped');
+    },
+  );
+
+  scene('machines go back at the stated time', {}, async (c, run) => {
+    // Long enough that the planner of capacity keeps the machines.
+    const uids = await Promise.all([0, 1, 2].map((i) => c.submit(`n${i}`, { Pieces: 40 })));
+    const from = await partWithMachines(c);
+    const to = (from + 1) % 3;
+    const ends = ['--from', `${from}`, '--to', `${to}`, '--count', '1', '--id', 'm'];
+    const returnAt = new Date(Date.now() + 16_000).toISOString();
+    const asked = await run('move', ...ends, '--within-s', '14', '--return-at', returnAt);
+    assert.equal(asked.code, 0, asked.err);
+    await c.until('lent', 20, () => ['lent', 'aborted'].includes(moveOf(c, 'm').state));
+    const [lent] = moveOf(c, 'm').moved;
+    if (lent !== undefined && moveOf(c, 'm').state === 'lent') {
+      assert.ok(machinesOf(c, to).includes(lent));
+    }
+    await c.until('over', 60, () => ['finished', 'aborted'].includes(moveOf(c, 'm').state));
+    assert.ok(lent === undefined || !machinesOf(c, to).includes(lent), 'it is not there any more');
+    for (const uid of uids) await done(c, uid);
+  });
+
+  scene(
+    'while the version in production serves, a move waits and says so',
+    { versions: { n2: 'production' } },
+    async (c, run) => {
+      await run('move', '--from', '0', '--to', '1', '--count', '1', '--id', 'm');
+      await c.pass(3);
+      assert.equal(moveOf(c, 'm').state, 'requested');
+      const plan = await run('plan', '--from', '0', '--to', '1', '--count', '1');
+      assert.match(plan.out, /waits for a node that does not know moves/);
+      assert.equal((await run('abort', 'm')).code, 0);
+      await c.replace('n2', 'current');
+      await state(c, 'm', 'aborted');
+    },
+  );
+
+  test('bad input is named, exit 2; without the state service exit 1', async () => {
+    await withCommands('127.0.0.1:9', 'shares', async (run) => {
+      const ends = ['--from', '0', '--to', '1'];
+      const bad: [string[], RegExp][] = [
+        [['move', '--from', '0', '--to', '7', '--count', '1'], /to: no such part: 7/],
+        [['move', ...ends, '--count', '-3'], /count: /],
+        [['move', ...ends, '--count', '100000'], /count: one move holds \d+ machines at most/],
+        [['move', ...ends, '--count', '1', '--within-s', '-5'], /deadlineMs: is past/],
+        [['move', ...ends, '--count', '1', '--kind', 'cheap'], /filter\.spot: /],
+        [['plan', '--from', '0', '--to', '0', '--count', '1'], /to: must be another part/],
+        [['move', '--plan', '/nonexistent'], /\/nonexistent: /],
+      ];
+      for (const [args, says] of bad) {
+        const { code, err } = await run(...args);
+        assert.equal(code, 2, `${args.join(' ')}: ${err}`);
+        assert.match(err, says);
+      }
+      for (const args of [[], ['move', ...ends, '--count', '1'], ['abort', 'm']]) {
+        const { code, out, err } = await run(...args);
+        assert.equal(code, 1, args.join(' '));
+        assert.equal(out, '');
+        assert.match(err, /^sumacstep: the state service: /);
+      }
+    });
+  });
+});
--- /dev/null
+++ b/test/share-moves.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ShareMoves } from './standins/share-moves.js';
+
+/**
+ * Machines move between the parts of three controllers every few seconds while jobs run. However controllers and
+ * machines fail meanwhile, every job is done in the end and no rule is broken at any moment. The ten minutes
+ * are played by scripts/share-moves.sh.
+ */
+const RUNS = [
+  { name: 'nothing fails', seed: 1, faults: false },
+  { name: 'controllers and machines fail', seed: 2, faults: true },
+  { name: 'controllers and machines fail', seed: 3, faults: true },
+];
+
+for (const { name, seed, faults } of RUNS) {
+  test(`shares move while jobs run: ${name}, seed ${seed}`, async (t) => {
+    const run = new ShareMoves({ seed, seconds: 30, everyS: 2, faults });
+    const { broken, unfinished, counts } = await run.run();
+    t.diagnostic(JSON.stringify(counts));
+    assert.deepEqual(broken, []);
+    assert.deepEqual(unfinished, []);
+    assert.ok(counts['finished']! > 0 && counts['machinesMoved']! > 0, JSON.stringify(counts));
+    if (!faults) assert.equal(counts['tasksStartedAfterCompletion'], 0);
+  });
+}
--- a/test/single-holder.test.ts
+++ b/test/single-holder.test.ts
@@ -44,7 +44,7 @@
       runMs: 1500,
       leaseS: LEASE_S,
       cancelS: CANCEL_S,
-      duties: DUTIES,
+      features: { duties: DUTIES },
       ...options,
     });
     try {
@@ -133,7 +133,7 @@
 
   scene(
     'a final state is cleared after its time, and a late acceptance does not bring the job back',
-    { duties: { ...DUTIES, finalKeepMs: 4000 } },
+    { features: { duties: { ...DUTIES, finalKeepMs: 4000 } } },
     async (c) => {
       await held(c, CLEAR);
       const accepted: Request[] = [];
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { DutiesConfig } from '../../src/config/duties.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
 import { partOfTeam } from '../../src/core/jobs.js';
 import type { Team } from '../../src/core/model.js';
 import { CborClient, type Answer } from '../../src/http.js';
 import { AnswerHistory, type UserCall } from './answer-history.js';
 import { FakeCloud, type WorkerHost } from './cloud.js';
+import type { Features } from '../../src/service.js';
 import {
   createController,
   ProcessController,
@@ -34,8 +34,8 @@
   readonly seed?: Readonly<Record<string, unknown>>;
   /** version of each node at the start, by name; the present one if not given */
   readonly versions?: Readonly<Record<string, Version>>;
-  /** settings of the exclusive duties; off if not given */
-  readonly duties?: DutiesConfig;
+  /** what is switched on; nothing if not given */
+  readonly features?: Partial<Features>;
 }
 
 /** What the version in production reads of the limits: it knows none that are announced. */
@@ -148,8 +148,8 @@
     const config = this.#configs.get(node)!;
     const old = version === 'production';
     const settings = old ? { ...config, stateLimits: PRODUCTION_LIMITS } : config;
-    const duties = this.options.duties ?? null;
-    const controller: Controller = createController(version, settings, duties, () => {
+    const features = { duties: null, shares: null, ...this.options.features };
+    const controller: Controller = createController(version, settings, features, () => {
       this.crashes += 1;
       setTimeout(() => {
         if (this.#controllers.get(node) === controller) void this.start(node, version);
--- /dev/null
+++ b/test/standins/commands.ts
@@ -0,0 +1,55 @@
+import { execFile } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify } from 'smol-toml';
+
+/** The program as an operator starts it. */
+const MAIN = join(import.meta.dirname, '../../../main.js');
+
+const platformFile = (state: string): unknown => ({
+  node: 'n0',
+  site: 'z',
+  serve_on: '127.0.0.1:1',
+  peer_bind: '127.0.0.1:2',
+  known: ['n1', 'n2'].map((node) => ({ node, site: 'z', endpoint: '127.0.0.1:3' })),
+  services: { cloud: '127.0.0.1:4', state },
+  settings: {
+    nodes: 3,
+    zones: ['z'],
+    workers: { report_s: 1, lease_s: 10, gang_wait_s: 10, gang_peer_s: 2, cancel_s: 20 },
+    state: { rps: 600, write_rps: 300, value_kb: 8, txn_ops: 8 },
+    cloud: { rps: 60, list_lag_s: 0.2 },
+    quota: { cores: 1, memory_mb: 200, max_sockets: 1000 },
+  },
+});
+
+/** What a run of the program printed, and its exit code. */
+export interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+/** Runs the program with settings whose state service is at the address. */
+export const withCommands = async (
+  state: string,
+  command: 'duties' | 'shares',
+  play: (run: (...args: string[]) => Promise<Run>) => Promise<void>,
+): Promise<void> => {
+  const folder = mkdtempSync(join(tmpdir(), 'duties-'));
+  const config = join(folder, 'platform.toml');
+  writeFileSync(config, stringify(platformFile(state)));
+  const run = (...args: string[]): Promise<Run> =>
+    new Promise((resolve) => {
+      const all = [MAIN, command, ...args, '--config', config];
+      execFile(process.execPath, all, (error, out, err) => {
+        resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
+      });
+    });
+  try {
+    await play(run);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+};
--- a/test/standins/controller-process.ts
+++ b/test/standins/controller-process.ts
@@ -3,14 +3,13 @@
  * first message of its parent, answers with `listening`, and sends each line that it logs.
  */
 import pino from 'pino';
-import type { DutiesConfig } from '../../src/config/duties.js';
 import { parseOperator } from '../../src/config/operator.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
-import { Service } from '../../src/service.js';
+import { Service, type Features } from '../../src/service.js';
 
 interface Settings {
   readonly config: PlatformConfig;
-  readonly duties: DutiesConfig | null;
+  readonly features: Features;
 }
 
 const fail = () => process.exit(1);
@@ -21,8 +20,8 @@
 
 const toParent = { write: (line: string) => void process.send?.(JSON.parse(line) as object) };
 
-process.once('message', ({ config, duties }: Settings) => {
+process.once('message', ({ config, features }: Settings) => {
   const log = pino({ level: 'info' }, toParent);
-  const service = new Service(config, parseOperator('', ''), log, duties);
+  const service = new Service(config, parseOperator('', ''), log, features);
   void service.start().then(() => process.send?.('listening'));
 });
--- a/test/standins/controllers.ts
+++ b/test/standins/controllers.ts
@@ -3,9 +3,8 @@
 import { fileURLToPath } from 'node:url';
 import pino from 'pino';
 import { parseOperator } from '../../src/config/operator.js';
-import type { DutiesConfig } from '../../src/config/duties.js';
 import type { PlatformConfig } from '../../src/config/platform.js';
-import { Service } from '../../src/service.js';
+import { Service, type Features } from '../../src/service.js';
 
 /** One life of a controller, of either version. */
 export interface Controller {
@@ -25,9 +24,9 @@
 class CurrentController implements Controller {
   readonly #service: Service;
 
-  constructor(config: PlatformConfig, duties: DutiesConfig | null) {
+  constructor(config: PlatformConfig, features: Features) {
     const log = pino({ level: 'silent' });
-    this.#service = new Service(config, parseOperator('', ''), log, duties);
+    this.#service = new Service(config, parseOperator('', ''), log, features);
   }
 
   start(): Promise<void> {
@@ -93,14 +92,14 @@
 export const createController = (
   version: Version,
   config: PlatformConfig,
-  duties: DutiesConfig | null,
+  features: Features,
   onCrash: () => void,
 ): Controller => {
   switch (version) {
     case 'current':
-      return new CurrentController(config, duties);
+      return new CurrentController(config, features);
     case 'current-process':
-      return new ProcessController('controller-process.js', { config, duties }, onCrash);
+      return new ProcessController('controller-process.js', { config, features }, onCrash);
     case 'production':
       return new ProcessController('production-process.js', config, onCrash);
   }
--- /dev/null
+++ b/test/standins/share-moves.ts
@@ -0,0 +1,217 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { decodeMove, encodeLock, isOver, moveKey, partLockKey, requested } from '@sumacstep/shares';
+import type { Move } from '@sumacstep/shares';
+import { parseDuties } from '../../src/config/duties.js';
+import { parseShares } from '../../src/config/shares.js';
+import { randomFrom } from '../../src/random.js';
+import { Cluster } from './cluster.js';
+
+/** Sizes of a run. */
+export interface ShareMovesOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  /** s between two requests of moves */
+  readonly everyS: number;
+  readonly faults: boolean;
+}
+
+/** What a run met and measured. */
+export interface ShareMovesResult {
+  readonly broken: readonly string[];
+  readonly unfinished: readonly string[];
+  readonly counts: Record<string, number>;
+  /** ms from request to end of moves that were carried out */
+  readonly moveMs: readonly number[];
+  /** ms from the transaction to the machine's first report to its new owner */
+  readonly pauseMs: readonly number[];
+}
+
+const FEATURES = { duties: parseDuties('', ''), shares: parseShares('', '') };
+const TASK_MS = 700;
+/** s after the last fault within which everything must be over */
+const SETTLE_S = 60;
+
+/** Jobs keep coming while machines move between the parts of three controllers, and controllers and machines fail. */
+export class ShareMoves {
+  readonly cluster = new Cluster({
+    runMs: (index) => TASK_MS + (index % 5) * 300,
+    leaseS: 10,
+    cancelS: 20,
+    features: FEATURES,
+  });
+  readonly #below: (n: number) => number;
+  readonly #jobs: string[] = [];
+  readonly #counts = { jobs: 0, moves: 0, refused: 0, kills: 0, cuts: 0, hangs: 0, notices: 0 };
+  readonly #requestedAt = new Map<string, number>();
+  readonly #moveMs: number[] = [];
+  readonly #pauseMs: number[] = [];
+
+  constructor(private readonly options: ShareMovesOptions) {
+    this.#below = randomFrom(options.seed);
+  }
+
+  #moves(): Move[] {
+    return [...this.cluster.state.items]
+      .filter(([key]) => key.startsWith(moveKey('')))
+      .map(([, item]) => decodeMove(item.value)!);
+  }
+
+  /** Writes a request as the command does: the move and the locks of both parts, if nothing holds them. */
+  #request(): void {
+    const from = this.#below(3);
+    const to = (from + 1 + this.#below(2)) % 3;
+    this.#counts.moves += 1;
+    const id = `m${this.#counts.moves}`;
+    const { state } = this.cluster;
+    const held = [from, to].some((part) => state.items.has(partLockKey(part)));
+    if (held) {
+      this.#counts.refused += 1;
+      return;
+    }
+    const deadlineMs = Date.now() + 4000 + this.#below(10_000);
+    const returnAtMs = this.#below(3) === 0 ? deadlineMs + 3000 : null;
+    const filter = { type: null, zone: null, spot: null };
+    const count = 1 + this.#below(3);
+    const move = requested({ id, from, to, count, filter, deadlineMs, returnAtMs });
+    const lock = encodeLock(id);
+    state.seed({ [moveKey(id)]: move, [partLockKey(from)]: lock, [partLockKey(to)]: lock });
+    this.#requestedAt.set(id, Date.now());
+  }
+
+  async #submit(): Promise<void> {
+    const node = this.cluster.names[this.#below(3)]!;
+    const gang = this.#below(4) === 0;
+    const shape = gang ? { Shape: 'ensemble', Pieces: 2, SnapshotEveryS: 0 } : {};
+    const pieces = 1 + this.#below(6);
+    const body = this.cluster.submission({ Pieces: pieces, GuessS: 1, ...shape });
+    this.#counts.jobs += 1;
+    this.#jobs.push(await this.cluster.submitBody(node, body));
+  }
+
+  /** One thing goes wrong, and is mended after a while. */
+  async #fault(): Promise<void> {
+    const node = this.cluster.names[this.#below(3)]!;
+    const hosts = this.cluster.hosts();
+    const host = hosts[this.#below(Math.max(1, hosts.length))];
+    const what = this.#below(5);
+    if (what === 0) {
+      this.#counts.kills += 1;
+      this.cluster.kill(node);
+      await sleep(this.#below(2) === 0 ? 100 : 3000);
+      await this.cluster.start(node);
+    } else if (what === 1) {
+      this.#counts.cuts += 1;
+      this.cluster.doors.get(node)!.refusing = true;
+      await sleep(1000 + this.#below(8000));
+      this.cluster.doors.get(node)!.refusing = false;
+    } else if (what === 2 && host !== undefined) {
+      this.#counts.hangs += 1;
+      host.worker.hung = true;
+      await sleep(1000 + this.#below(4000));
+      host.worker.hung = false;
+    } else if (what === 3 && host !== undefined) {
+      this.#counts.notices += 1;
+      host.worker.noticeS = 3;
+      await sleep(3000);
+      this.cluster.cloud.kill(host.worker.name);
+    } else if (what === 4) {
+      const door = this.cluster.doors.get(node)!;
+      door.lateMs = 3000;
+      await sleep(4000);
+      door.lateMs = null;
+    }
+  }
+
+  #watchMoves(): void {
+    for (const move of this.#moves()) {
+      const at = this.#requestedAt.get(move.id);
+      if (at === undefined || !isOver(move)) continue;
+      this.#requestedAt.delete(move.id);
+      if (move.state === 'finished') this.#moveMs.push(Date.now() - at);
+    }
+  }
+
+  /** Notes how long machines were without an owner that may use them. */
+  #watchMachines(owners: Map<string, { group: string; token: number; at: number }>): void {
+    for (const [key, { value }] of this.cluster.state.items) {
+      if (!key.startsWith('machines/moved-')) continue;
+      const { hosts, era } = value as { hosts: Record<string, number>; era: number };
+      for (const name of Object.keys(hosts)) {
+        const known = owners.get(name);
+        if (known?.group !== key) owners.set(name, { group: key, token: era, at: Date.now() });
+      }
+    }
+    for (const [name, { token, at }] of owners) {
+      const worker = this.cluster.cloud.machines.get(name)?.worker;
+      if (at === Infinity || worker === undefined || worker.token < token) continue;
+      this.#pauseMs.push(Date.now() - at);
+      owners.set(name, { ...owners.get(name)!, at: Infinity });
+    }
+  }
+
+  async run(): Promise<ShareMovesResult> {
+    const { cluster, options } = this;
+    await cluster.open();
+    const end = Date.now() + options.seconds * 1000;
+    const owners = new Map<string, { group: string; token: number; at: number }>();
+    let nextMove = Date.now() + 3000;
+    let nextFault = Date.now() + 5000;
+    let fault: Promise<void> = Promise.resolve();
+    const watcher = setInterval(() => {
+      this.#watchMoves();
+      this.#watchMachines(owners);
+    }, 20);
+    while (Date.now() < end) {
+      await this.#submit();
+      if (Date.now() >= nextMove) {
+        this.#request();
+        nextMove = Date.now() + options.everyS * 1000;
+      }
+      if (options.faults && Date.now() >= nextFault) {
+        await fault;
+        fault = this.#fault();
+        nextFault = Date.now() + 4000;
+      }
+      await cluster.pass(0.2 + this.#below(3) / 10);
+    }
+    await fault;
+    const unfinished = await this.#settle();
+    clearInterval(watcher);
+    return this.#result(unfinished);
+  }
+
+  async #settle(): Promise<string[]> {
+    const end = Date.now() + SETTLE_S * 1000;
+    let open = [...this.#jobs];
+    while (open.length > 0 && Date.now() < end) {
+      const checked = await Promise.all(
+        open.map(async (uid) => [uid, await this.cluster.statusOf('n0', uid)] as const),
+      );
+      open = checked.filter(([, status]) => status !== 'done').map(([uid]) => uid);
+      await this.cluster.pass(0.3);
+    }
+    while (this.#moves().some((move) => !isOver(move) && move.state !== 'lent')) {
+      if (Date.now() >= end) break;
+      await this.cluster.pass(0.3);
+    }
+    const moves = this.#moves().filter((m) => !isOver(m));
+    const stuck = moves.map(
+      (m) => `move ${m.id}: ${m.state} ${m.direction}, waits for ${m.waitsFor}`,
+    );
+    return [...open, ...stuck];
+  }
+
+  #result(unfinished: readonly string[]): ShareMovesResult {
+    const moves = this.#moves();
+    const counts = {
+      ...this.#counts,
+      finished: moves.filter((m) => m.state === 'finished').length,
+      aborted: moves.filter((m) => m.state === 'aborted').length,
+      machinesMoved: this.#pauseMs.length,
+      tasksStartedAfterCompletion: this.cluster.world.startedCompleted,
+    };
+    const { broken } = this.cluster.world;
+    this.cluster.close();
+    return { broken, unfinished, counts, moveMs: this.#moveMs, pauseMs: this.#pauseMs };
+  }
+}
