--- a/test/move-candidates.test.ts
+++ b/test/move-candidates.test.ts
@@ -1,8 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import pino from 'pino';
+import type { PlatformConfig } from '../src/config/platform.js';
+import { MachineRecords } from '../src/parts/machine-records.js';
 import { candidateOf } from '../src/shares/share-owner.js';
 import type { MachineState } from '../src/core/part.js';
-import { job, machine, partWith, Store } from './helpers.js';
+import { encodeGroup } from '../src/state/keys.js';
+import { WatchCache } from '../src/state/watch-cache.js';
+import type { Condition, Write } from '../src/wire/schemas.js';
+import { job, machine, ownedPart, partWith, Store } from './helpers.js';
 
 /**
  * A machine may move only when nothing is on it and nothing may still arrive there. Each row spoils one of the
@@ -52,3 +58,60 @@
   part.placeAll(NOW);
   assert.equal(m.tasks.size, 1);
 });
+
+test('machines move in one transaction that depends on both parts, their groups and the move', async () => {
+  const cache = new WatchCache();
+  const group = (hosts: string[]) =>
+    encodeGroup({
+      ...machine('x', { part: 0, era: 1 }),
+      hosts: new Map(hosts.map((n) => [n, true])),
+    });
+  const put = (key: string, value: unknown, revision: number) => ({
+    key,
+    value,
+    revision,
+    removed: false,
+  });
+  const changes = [put('machines/g', group(['x', 'y']), 5), put('machines/h', group(['z']), 6)];
+  cache.apply({ fresh: true, epoch: 9, whole: 9, changes });
+  const sent: { when: readonly Condition[]; writes: readonly Write[] }[] = [];
+  const client = {
+    transact: (_cls: unknown, when: readonly Condition[], writes: readonly Write[]) => {
+      sent.push({ when, writes });
+      return Promise.resolve({ ok: true as const, epoch: 10 });
+    },
+  };
+  const records = new MachineRecords(
+    { stateLimits: { valueBytes: 8192, transactionOps: 4 } } as unknown as PlatformConfig,
+    client,
+    cache,
+    () => Promise.resolve(),
+    () => 0,
+    pino({ level: 'silent' }),
+  );
+  const { part } = settledMachine();
+  const moved = await records.move(ownedPart(part), ['x', 'z'], {
+    part: 1,
+    term: 8,
+    condition: { key: 'parts/1', revision: 7 },
+    group: 'moved-m-3',
+    when: [{ key: 'shares/moves/m', revision: 3 }],
+    writes: (names) => [{ put: 'shares/moves/m', value: names }],
+  });
+  assert.deepEqual(moved, ['x', 'z']);
+  assert.deepEqual(
+    new Map(sent[0]!.when.map((c) => [c.key, c.revision])),
+    new Map([
+      ['parts/0', 1],
+      ['parts/1', 7],
+      ['machines/moved-m-3', 0],
+      ['machines/g', 5],
+      ['machines/h', 6],
+      ['shares/moves/m', 3],
+    ]),
+  );
+  assert.equal(sent[0]!.writes.length, 4, 'as many as a transaction holds');
+  assert.equal(cache.machines.get('x')?.value.part, 1);
+  assert.equal(cache.machines.get('x')?.value.era, 8);
+  assert.equal(cache.machines.get('y')?.value.part, 0);
+});
