--- a/test/duty-commands.test.ts
+++ b/test/duty-commands.test.ts
@@ -74,7 +74,7 @@
   test('bad input is named and changes nothing; without the state service nothing is shown', async () => {
     await withCommands('127.0.0.1:9', 'duties', async (run) => {
       const bad: [string[], RegExp][] = [
-        [['hand-over', 'rent'], /no such duty: rent \(reclaim, clear\)/],
+        [['hand-over', 'rent'], /no such duty: rent \(reclaim, clear, move\)/],
         [['hand-over', RECLAIM, '--to', 'n7'], /no such node: n7 \(n0, n1, n2\)/],
         [['withdraw', 'rent'], /no such duty: rent/],
       ];
