--- a/review/standins/cluster.mjs
+++ b/review/standins/cluster.mjs
@@ -27,15 +27,24 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-const freePort = () =>
+/** Ports below those that systems take for outgoing connections, which could take a free one before it is used. */
+const PORTS = { from: 20_000, count: 10_000 };
+
+const canListen = (port) =>
   new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
+const freePort = async () => {
+  for (let i = 0; i < 100; i++) {
+    const port = PORTS.from + Math.floor(Math.random() * PORTS.count);
+    if (await canListen(port)) return port;
+  }
+  throw new Error('no free port');
+};
+
 /** Returns the program and arguments with which the deploy file starts a controller. */
 const runCommand = () => {
   const line = /^run = "(.*)"$/m.exec(readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8'));
