--- a/src/core/capacity/allocation-ratio.ts
+++ b/src/core/capacity/allocation-ratio.ts
@@ -43,7 +43,7 @@
 /**
  * Returns the allocation ratios of the shard, as `loadIndex` numbers them. Waiting tasks count as allocated. Each
  * ratio is the largest over the resources, first of the ordinary machines alone and then of all machines. Visits
- * every machine, task and job once.
+ * every job of every machine once, but not its tasks.
  */
 export const allocationRatios = (state: ShardState, now: number): number[] => {
   const ordinary: MachinePool = { capacity: zeroTotals(), allocatedByRank: zeroTotalsByRank() };
@@ -52,8 +52,8 @@
     if (machine.type === null || !countsForRouting(state, machine, now)) continue;
     const pool = machine.record.spot ? spot : ordinary;
     addTo(pool.capacity, machine.type);
-    for (const { job } of machine.tasks.values()) {
-      addTo(pool.allocatedByRank[job.priorityRank]!, job.spec.demand);
+    for (const [job, tasks] of machine.tasksByJob) {
+      addTo(pool.allocatedByRank[job.priorityRank]!, job.spec.demand, tasks);
     }
   }
   const waitingByRank = zeroTotalsByRank();
--- a/src/core/capacity/capacity-planner.ts
+++ b/src/core/capacity/capacity-planner.ts
@@ -58,8 +58,8 @@
  */
 const simultaneousTasks = (job: JobState): number => {
   // A waiting gang with tasks still placed is being stopped and cannot start before that is done.
-  if (job.spec.kind === 'gang') return job.placements.size === 0 ? job.waitingTasks.length : 0;
-  return job.spec.kind === 'service' ? job.waitingTasks.length : 1;
+  if (job.spec.kind === 'gang') return job.placements.size === 0 ? job.waitingTasks.size : 0;
+  return job.spec.kind === 'service' ? job.waitingTasks.size : 1;
 };
 
 /** Whether any job or job class is a service that spreads over zones and may not use spot machines. */
--- a/src/core/capacity/reachable-capacity.ts
+++ b/src/core/capacity/reachable-capacity.ts
@@ -36,12 +36,12 @@
   preemptionEnabled: boolean,
 ): Resources => {
   let free: Resources = machine.type ?? ZERO_RESOURCES;
-  for (const placement of machine.tasks.values()) {
+  for (const [present, tasks] of machine.tasksByJob) {
     const stays =
-      placement.job.spec.kind === 'service' ||
+      present.spec.kind === 'service' ||
       !preemptionEnabled ||
-      placement.job.priorityRank >= job.priorityRank;
-    if (stays) free = add(free, placement.job.spec.demand, -1);
+      present.priorityRank >= job.priorityRank;
+    if (stays) free = add(free, present.spec.demand, -tasks);
   }
   return free;
 };
--- a/src/core/jobs/task-set.ts
+++ b/src/core/jobs/task-set.ts
@@ -7,11 +7,21 @@
 export class TaskSet implements Iterable<number> {
   #words = new Uint32Array(0);
   #size = 0;
+  /** every word before this index is 0 */
+  #firstWord = 0;
 
   get size(): number {
     return this.#size;
   }
 
+  /** The smallest task number; undefined if the set is empty. Removing tasks in ascending order keeps this fast. */
+  get first(): number | undefined {
+    if (this.#size === 0) return undefined;
+    while (this.#words[this.#firstWord] === 0) this.#firstWord += 1;
+    const word = this.#words[this.#firstWord]!;
+    return this.#firstWord * 32 + 31 - Math.clz32(word & -word);
+  }
+
   has(task: number): boolean {
     return ((this.#words[task >>> 5] ?? 0) & (1 << (task & 31))) !== 0;
   }
@@ -22,6 +32,7 @@
     if (wordIndex >= this.#words.length) this.#grow(wordIndex + 1);
     this.#words[wordIndex]! |= 1 << (task & 31);
     this.#size += 1;
+    this.#firstWord = Math.min(this.#firstWord, wordIndex);
     return this;
   }
 
@@ -32,6 +43,12 @@
     return true;
   }
 
+  clear(): void {
+    this.#words = new Uint32Array(0);
+    this.#size = 0;
+    this.#firstWord = 0;
+  }
+
   /** Grows to at least twice the size, so that adding tasks one by one takes amortised constant time. */
   #grow(minimumWords: number): void {
     const larger = new Uint32Array(Math.max(minimumWords, this.#words.length * 2));
--- a/src/core/placement/candidates.ts
+++ b/src/core/placement/candidates.ts
@@ -1,16 +1,14 @@
 /** Choice of a machine for a task or a pair of tasks within one scheduling pass. */
+import { MAX_PLACEMENTS_PER_PASS } from './constants.js';
 import { satisfiesConstraints } from './constraints.js';
+import { tasksAllowedInZone } from './zones.js';
 import type { JobState, MachineState } from '../shard/types.js';
 import type { ShardState } from '../shard/shard-state.js';
-import { fits, fitCount, type Resources } from '../model.js';
+import { fits, type Resources } from '../model.js';
+import { hasCapacityFor, tasksPlaceableOn } from './machine-capacity.js';
+import { ReplicaSpreading } from './replica-spreading.js';
 import { UnusedVolumeIndex } from './unused-volume-index.js';
 
-const replicasOn = (machine: MachineState, job: JobState): number => {
-  let count = 0;
-  for (const placement of job.placements.values()) if (placement.machine === machine) count += 1;
-  return count;
-};
-
 /**
  * The candidate machines of one scheduling pass: the schedulable machines that have free capacity for at least the
  * smallest demand in the queue. Every other machine would be infeasible for every job, so the choice is the same as
@@ -25,10 +23,13 @@
   readonly #machinesByImage = new Map<string, UnusedVolumeIndex>();
   /** uids of the jobs for which a candidate is reserved */
   readonly #reservedUids = new Set<string>();
+  /** the candidates in the order for the service that was placed last; null if none was */
+  #replicaSpreading: ReplicaSpreading | null = null;
   /** zones of the candidates, sorted by name */
   readonly zones: readonly string[];
   /** demand and number of tasks of jobs that could not be placed in this pass, by `constraintKey` */
   readonly #unschedulable = new Map<string, { demand: Resources; tasks: number }[]>();
+  #placedTasks = 0;
 
   constructor(
     private readonly state: ShardState,
@@ -41,7 +42,8 @@
     const usable: MachineState[] = [];
     const zones = new Set<string>();
     for (const machine of singleMachine === null ? state.machines.values() : [singleMachine]) {
-      if (!fits(minimumDemand, machine.free) || !state.health.isSchedulable(machine, now)) continue;
+      if (!hasCapacityFor(machine, minimumDemand) || !state.health.isSchedulable(machine, now))
+        continue;
       usable.push(machine);
       if (machine.reservation !== null) this.#reservedUids.add(machine.reservation.uid);
       zones.add(machine.record.zone);
@@ -83,12 +85,19 @@
    */
   hasSlots(job: JobState, tasks: number, zone: string | null): boolean {
     const { demand } = job.spec;
+    const slotsByZone = new Map<string, number>();
     let slots = 0;
     for (const machine of this.#machines.mostUnusedFirst(demand)) {
       this.state.workCounters.machinesVisited += 1;
-      if (zone !== null && machine.record.zone !== zone) continue;
-      if (!fits(demand, machine.free) || !satisfiesConstraints(machine, job, this.now)) continue;
-      slots += fitCount(demand, machine.free);
+      const machineZone = machine.record.zone;
+      if (zone !== null && machineZone !== zone) continue;
+      if (!hasCapacityFor(machine, demand) || !satisfiesConstraints(machine, job, this.now))
+        continue;
+      const slotsInZone = slotsByZone.get(machineZone) ?? 0;
+      const allowed = tasksAllowedInZone(job, machineZone) - slotsInZone;
+      const added = Math.min(tasksPlaceableOn(machine, job), allowed);
+      slotsByZone.set(machineZone, slotsInZone + added);
+      slots += added;
       if (slots >= tasks) return true;
     }
     return false;
@@ -113,11 +122,11 @@
     const accepts = (machine: MachineState): boolean => {
       this.state.workCounters.machinesVisited += 1;
       if (zone !== null && machine.record.zone !== zone) return false;
-      if (!fits(demand, machine.free) || !satisfiesConstraints(machine, job, this.now))
+      if (!hasCapacityFor(machine, demand) || !satisfiesConstraints(machine, job, this.now))
         return false;
       return partner === null || satisfiesConstraints(machine, partner, this.now);
     };
-    if (job.spec.kind === 'service') return this.#fewestReplicas(job, demand, accepts);
+    if (job.spec.kind === 'service') return this.#spreadingOf(job).bestMachine(demand, accepts);
     return this.#leastUnused(job.spec.image, demand, accepts);
   }
 
@@ -140,36 +149,23 @@
     return withImage;
   }
 
-  /**
-   * Returns the machine for the next replica of a service: machines with less than half of the replicas come first,
-   * then those that hold the image, then those with fewer replicas, then those with the least unused volume.
-   */
-  #fewestReplicas(
-    job: JobState,
-    demand: Resources,
-    accepts: (machine: MachineState) => boolean,
-  ): MachineState | null {
-    const { image, tasks } = job.spec;
-    const half = Math.ceil(tasks / 2);
-    let best: { sortKey: readonly number[]; machines: MachineState[] } | null = null;
-    for (const machine of this.#machines.machines()) {
-      if (!accepts(machine)) continue;
-      const replicas = replicasOn(machine, job);
-      const sortKey = [Number(replicas >= half), Number(!machine.images.has(image)), replicas];
-      const order = best === null ? -1 : compareLexicographically(sortKey, best.sortKey);
-      if (best === null || order < 0) best = { sortKey, machines: [machine] };
-      else if (order === 0) best.machines.push(machine);
+  #spreadingOf(job: JobState): ReplicaSpreading {
+    if (this.#replicaSpreading?.job !== job) {
+      const machines = this.#machines.machines();
+      this.#replicaSpreading = new ReplicaSpreading(job, machines, this.state.largestCapacity);
     }
-    if (best === null) return null;
-    return new UnusedVolumeIndex(best.machines, this.state.largestCapacity).leastUnused(
-      demand,
-      () => true,
-    );
+    return this.#replicaSpreading;
+  }
+
+  /** Whether the pass has placed so many tasks that it should end, and another one should follow. */
+  get isLimitReached(): boolean {
+    return this.#placedTasks >= MAX_PLACEMENTS_PER_PASS;
   }
 
-  /** Must be called after a task was placed on the machine. */
-  capacityTaken(machine: MachineState): void {
-    this.#update(machine, fits(this.minimumDemand, machine.free));
+  /** Must be called after so many tasks were placed on the machine. */
+  capacityTaken(machine: MachineState, tasks = 1): void {
+    this.#placedTasks += tasks;
+    this.#update(machine, hasCapacityFor(machine, this.minimumDemand));
   }
 
   /** Must be called after a placement on the machine was undone. */
@@ -186,14 +182,7 @@
       if (isCandidate) index.put(machine);
       else index.remove(machine);
     }
+    if (isCandidate) this.#replicaSpreading?.put(machine);
+    else this.#replicaSpreading?.remove(machine);
   }
 }
-
-/** Compares two lists by the first elements that differ. */
-const compareLexicographically = (a: readonly number[], b: readonly number[]): number => {
-  for (const [i, value] of a.entries()) {
-    const difference = value - (b[i] ?? 0);
-    if (difference !== 0) return difference;
-  }
-  return 0;
-};
--- a/src/core/placement/constants.ts
+++ b/src/core/placement/constants.ts
@@ -23,3 +23,9 @@
 
 /** Machines in a block of the index by unused volume; a block without enough capacity is skipped after one check. */
 export const INDEX_BLOCK_SIZE = 32;
+
+/**
+ * Tasks after whose placement a pass ends, apart from the rest of a gang. Between two passes the node renews its lease
+ * and answers workers, users and peers.
+ */
+export const MAX_PLACEMENTS_PER_PASS = 5000;
--- a/src/core/placement/quotas.ts
+++ b/src/core/placement/quotas.ts
@@ -1,7 +1,7 @@
 /** Limits and guarantees of teams. */
 import type { JobState } from '../shard/types.js';
 import type { ShardState } from '../shard/shard-state.js';
-import { add, ZERO_RESOURCES, type Resources } from '../model.js';
+import { add } from '../model.js';
 
 /** Checks the quotas of teams against the demand of their placed tasks. */
 export class Quotas {
@@ -13,12 +13,8 @@
     if (team === undefined || (team.cpusMax <= 0 && team.gpusMax <= 0)) return Infinity;
     // The usage of the team is unknown while a machine that an earlier owner may have used has not reported what it
     // runs, and while tasks without a placement in this shard's state, whose team is unknown, are being stopped.
-    if (
-      !this.state.recovered ||
-      [...this.state.machines.values()].some((m) => m.unknownTaskCount > 0)
-    )
-      return 0;
-    const used = this.usedBy(job.spec.team);
+    if (!this.state.recovered || this.state.hasUnknownTasks) return 0;
+    const used = this.state.usedBy(job.spec.team);
     const { cpus, gpus } = job.spec.demand;
     let tasks = Infinity;
     if (team.cpusMax > 0 && cpus > 0) tasks = Math.min(tasks, (team.cpusMax - used.cpus) / cpus);
@@ -26,20 +22,11 @@
     return Math.max(0, Math.floor(tasks + 1e-9));
   }
 
-  /** Returns the total demand of the placed tasks of the team. */
-  usedBy(team: string): Resources {
-    let used = ZERO_RESOURCES;
-    for (const job of this.state.jobs.values()) {
-      if (job.spec.team === team) used = add(used, job.spec.demand, job.placements.size);
-    }
-    return used;
-  }
-
   /** Returns whether the team of the job has a guarantee and stays within it with one more task of the job. */
   staysWithinGuarantee(job: JobState): boolean {
     const team = this.state.settings.teams.get(job.spec.team);
     if (team === undefined || (team.cpus <= 0 && team.gpus <= 0)) return false;
-    const used = add(this.usedBy(job.spec.team), job.spec.demand);
+    const used = add(this.state.usedBy(job.spec.team), job.spec.demand);
     return (team.cpus <= 0 || used.cpus <= team.cpus) && (team.gpus <= 0 || used.gpus <= team.gpus);
   }
 
@@ -47,7 +34,7 @@
   exceedsGuarantee(name: string): boolean {
     const team = this.state.settings.teams.get(name);
     if (team === undefined) return true;
-    const used = this.usedBy(name);
+    const used = this.state.usedBy(name);
     return used.cpus > team.cpus || used.gpus > team.gpus;
   }
 }
--- a/src/core/placement/scheduler.ts
+++ b/src/core/placement/scheduler.ts
@@ -1,14 +1,18 @@
 /** The queue of a shard and the placement of its tasks on machines. */
-import { FIRST_TASK_DUE_MS, DEFAULT_START_OBJECTIVE_S } from './constants.js';
+import {
+  DEFAULT_START_OBJECTIVE_S,
+  FIRST_TASK_DUE_MS,
+  MAX_PLACEMENTS_PER_PASS,
+} from './constants.js';
 import { placeableTasks } from '../reachability/failure-tracker.js';
-import { taskKey } from '../shard/placements.js';
 import type { JobState, MachineState, Placement } from '../shard/types.js';
 import { type ShardState } from '../shard/shard-state.js';
 import type { Quotas } from './quotas.js';
-import { add, fits, RESOURCE_KINDS, type Resources } from '../model.js';
+import { add, fitCount, RESOURCE_KINDS, type Resources } from '../model.js';
 import { ComplementFinder } from './partners.js';
 import type { Preemption } from '../preemption/preemption.js';
 import { Candidates } from './candidates.js';
+import { hasCapacityFor, tasksPlaceableOn } from './machine-capacity.js';
 
 /**
  * Orders the waiting jobs of a shard and places their tasks: in full passes over the whole queue, and between them on
@@ -20,6 +24,7 @@
    * were none.
    */
   #lastFullPass: { unschedulable: JobState[]; minimumDemand: Resources } | null = null;
+  #isPassIncomplete = false;
 
   constructor(
     private readonly state: ShardState,
@@ -84,22 +89,31 @@
     for (const machine of this.state.machines.values()) {
       if (machine.reservation === null) continue;
       const job = this.state.jobs.get(machine.reservation.uid);
-      if (job === undefined || job.ended || job.waitingTasks.length === 0)
-        machine.reservation = null;
+      if (job === undefined || job.ended || job.waitingTasks.size === 0) machine.reservation = null;
     }
   }
 
+  /** Whether the last full pass ended after `MAX_PLACEMENTS_PER_PASS`, so that another one should follow soon. */
+  get isPassIncomplete(): boolean {
+    return this.#isPassIncomplete;
+  }
+
   /**
    * Makes a full pass: places the tasks that fit, in the order of the queue, and reserves capacity for the other jobs.
-   * Returns the jobs with tasks that could not be placed.
+   * Returns the jobs with tasks that could not be placed. A pass ends early after `MAX_PLACEMENTS_PER_PASS`; what it
+   * has not reached, and the reservations, then stay as they are.
    */
   placeAll(now: number): JobState[] {
     this.#dropStaleReservations();
     const queue = this.queue(now);
     this.#lastFullPass = null;
+    this.#isPassIncomplete = false;
     if (queue.length === 0) return [];
     const minimumDemand = minimumDemandOf(queue);
-    const unschedulable = this.#place(queue, new Candidates(this.state, minimumDemand, now));
+    const candidates = new Candidates(this.state, minimumDemand, now);
+    const unschedulable = this.#place(queue, candidates);
+    this.#isPassIncomplete = candidates.isLimitReached;
+    if (this.#isPassIncomplete) return unschedulable;
     this.#lastFullPass =
       unschedulable.length === 0
         ? null
@@ -116,12 +130,12 @@
    * since then are left to the next full pass, which is never far away.
    */
   placeOn(machine: MachineState, now: number): void {
-    if (this.#lastFullPass === null || !fits(this.#lastFullPass.minimumDemand, machine.free))
+    if (this.#lastFullPass === null || !hasCapacityFor(machine, this.#lastFullPass.minimumDemand))
       return;
     // Thousands of jobs may wait, and this runs on every heartbeat: jobs whose demand does not fit are left out first.
     const { recovered } = this.state;
     const open = this.#lastFullPass.unschedulable.filter(
-      (job) => fits(job.spec.demand, machine.free) && hasPlaceableTasks(job, recovered, now),
+      (job) => hasCapacityFor(machine, job.spec.demand) && hasPlaceableTasks(job, recovered, now),
     );
     const queue = this.#cachedImagesFirst(open, machine, now);
     if (queue.length === 0) return;
@@ -154,23 +168,34 @@
   #place(queue: readonly JobState[], candidates: Candidates): JobState[] {
     const unschedulable: JobState[] = [];
     const complements = new ComplementFinder(queue, candidates.now, this.state.workCounters);
-    queue.forEach((job, position) => {
-      if (job.spec.kind === 'gang') {
-        if (!this.#placeGang(job, candidates)) unschedulable.push(job);
-        return;
-      }
-      while (placeableTasks(job, candidates.now) > 0) {
-        if (this.#placeNext(job, position, complements, candidates)) continue;
-        unschedulable.push(job);
-        return;
-      }
-    });
+    for (const [position, job] of queue.entries()) {
+      if (candidates.isLimitReached) break;
+      const isPlaced =
+        job.spec.kind === 'gang'
+          ? this.#placeGang(job, candidates)
+          : this.#placeTasks(job, position, complements, candidates);
+      if (!isPlaced) unschedulable.push(job);
+    }
     return unschedulable;
   }
 
+  /** Places tasks of an array or a service. Returns false if one of them could not be placed. */
+  #placeTasks(
+    job: JobState,
+    position: number,
+    complements: ComplementFinder,
+    candidates: Candidates,
+  ): boolean {
+    while (!candidates.isLimitReached && placeableTasks(job, candidates.now) > 0) {
+      if (!this.#placeNext(job, position, complements, candidates)) return false;
+    }
+    return true;
+  }
+
   /**
-   * Places the next task of the job together with a task of the complementary job, or alone if there is none or no
-   * machine fits both. Returns false if the task cannot be placed.
+   * Places the next tasks of the job on one machine: each together with a task of the complementary job, or alone if
+   * there is none or no machine fits both. As many are placed as would choose the same machine one after the other.
+   * Returns false if no task can be placed.
    */
   #placeNext(
     job: JobState,
@@ -182,36 +207,75 @@
     const tasksAllowed = this.quotas.tasksWithinLimit(job);
     if (tasksAllowed < 1) return false;
     const partner = complements.complementOf(job, position);
-    if (partner !== null && this.quotas.tasksWithinLimit(partner) >= 1) {
-      const sameTeam = partner.spec.team === job.spec.team;
-      const pairAllowed = !sameTeam || tasksAllowed >= 2 || tasksAllowed === Infinity;
-      const pairDemand = add(job.spec.demand, partner.spec.demand);
-      const machine = pairAllowed ? candidates.bestMachine(job, pairDemand, partner) : null;
-      if (machine !== null) {
-        this.#start(job, machine, candidates);
-        this.#start(partner, machine, candidates);
-        return true;
-      }
-    }
+    if (partner !== null && this.#placePairs(job, partner, tasksAllowed, candidates)) return true;
     const machine = candidates.bestMachine(job, job.spec.demand);
     if (machine === null) {
       candidates.recordUnschedulable(job, 1);
       return false;
     }
-    this.#start(job, machine, candidates);
+    const placeable = Math.min(tasksAllowed, placeableTasks(job, candidates.now));
+    this.#startTasks(job, machine, candidates, placeable);
     return true;
   }
 
-  #start(
+  /** Places pairs of tasks of two complementary jobs on one machine. Returns false if no machine fits a pair. */
+  #placePairs(
+    job: JobState,
+    partner: JobState,
+    tasksAllowed: number,
+    candidates: Candidates,
+  ): boolean {
+    const partnerTasksAllowed = this.quotas.tasksWithinLimit(partner);
+    if (partnerTasksAllowed < 1) return false;
+    const sameTeam = partner.spec.team === job.spec.team;
+    if (sameTeam && tasksAllowed < 2) return false;
+    const pairDemand = add(job.spec.demand, partner.spec.demand);
+    const machine = candidates.bestMachine(job, pairDemand, partner);
+    if (machine === null) return false;
+    // The tasks of a team with a limit share it, so they are placed one pair at a time.
+    const isLimited = tasksAllowed !== Infinity || partnerTasksAllowed !== Infinity;
+    const pairs = isLimited ? 1 : pairsPlaceableOn(machine, job, partner, pairDemand);
+    const { now } = candidates;
+    const waitingPairs = Math.min(placeableTasks(job, now), placeableTasks(partner, now));
+    const pairsToPlace = Math.min(pairs, waitingPairs);
+    for (let placed = 0; placed < pairsToPlace; placed++) {
+      this.#placeFirst(job, machine, now);
+      this.#placeFirst(partner, machine, now);
+    }
+    candidates.capacityTaken(machine, 2 * pairsToPlace);
+    return true;
+  }
+
+  /** Places up to `limit` tasks of the job on a machine that fits at least one. Returns their placements. */
+  #startTasks(
     job: JobState,
     machine: MachineState,
     candidates: Candidates,
-    attempt = this.state.nextAttempt(),
+    limit: number,
+    gangAttempt: number | null = null,
+  ): Placement[] {
+    const count = Math.min(limit, tasksAtOnce(machine, job));
+    const placed: Placement[] = [];
+    while (placed.length < count) {
+      placed.push(this.#placeFirst(job, machine, candidates.now, gangAttempt));
+    }
+    candidates.capacityTaken(machine, count);
+    return placed;
+  }
+
+  #placeFirst(
+    job: JobState,
+    machine: MachineState,
+    now: number,
+    attempt: number | null = null,
   ): Placement {
-    const task = job.waitingTasks[0]!;
-    const placement = this.state.place(job, task, attempt, machine, candidates.now);
-    candidates.capacityTaken(machine);
-    return placement;
+    return this.state.place(
+      job,
+      job.waitingTasks.first!,
+      attempt ?? this.state.nextAttempt(),
+      machine,
+      now,
+    );
   }
 
   /**
@@ -219,7 +283,7 @@
    * stay in one zone tries the zones in order of name. Returns false if the gang cannot be placed.
    */
   #placeGang(job: JobState, candidates: Candidates): boolean {
-    const tasks = job.waitingTasks.length;
+    const tasks = job.waitingTasks.size;
     if (job.placements.size > 0 || candidates.isKnownUnschedulable(job, tasks)) return false;
     if (this.quotas.tasksWithinLimit(job) < tasks) return false;
     const zones = job.spec.oneZone ? candidates.zones : [null];
@@ -228,14 +292,15 @@
       const attempt = this.state.nextAttempt();
       const placed: Placement[] = [];
       const reservations = new Map<MachineState, MachineState['reservation']>();
-      while (job.waitingTasks.length > 0) {
+      while (job.waitingTasks.size > 0) {
         const machine = candidates.bestMachine(job, job.spec.demand, null, zone);
         if (machine === null) break;
         if (!reservations.has(machine)) reservations.set(machine, machine.reservation);
-        placed.push(this.#start(job, machine, candidates, attempt));
+        const limit = job.waitingTasks.size;
+        placed.push(...this.#startTasks(job, machine, candidates, limit, attempt));
       }
-      if (job.waitingTasks.length === 0) return true;
-      this.#undoPlacements(job, placed, candidates);
+      if (job.waitingTasks.size === 0) return true;
+      this.#undoPlacements(placed, candidates);
       for (const [machine, reservation] of reservations) machine.reservation = reservation;
     }
     candidates.recordUnschedulable(job, tasks);
@@ -243,18 +308,36 @@
   }
 
   /** Undoes the placements of a gang that did not fit completely. None of their starts has been sent yet. */
-  #undoPlacements(job: JobState, placed: readonly Placement[], candidates: Candidates): void {
-    for (const { machine, index } of placed) {
-      machine.tasks.delete(taskKey(job.spec.uid, index));
-      job.placements.delete(index);
-      job.waitingTasks.push(index);
-      this.state.updateFreeCapacity(machine, machine.idleSince);
-      candidates.capacityReturned(machine);
+  #undoPlacements(placed: readonly Placement[], candidates: Candidates): void {
+    const machines = new Set<MachineState>();
+    for (const placement of placed) {
+      this.state.undoPlacement(placement);
+      machines.add(placement.machine);
     }
-    job.waitingTasks.sort((a, b) => a - b);
+    for (const machine of machines) candidates.capacityReturned(machine);
   }
 }
 
+/** Returns how many tasks of the job to place at once on the machine that is the best one for the next of them. */
+const tasksAtOnce = (machine: MachineState, job: JobState): number =>
+  // Each replica of a service changes which machine is the best one for the next replica.
+  job.spec.kind === 'service'
+    ? 1
+    : Math.min(MAX_PLACEMENTS_PER_PASS, tasksPlaceableOn(machine, job));
+
+/** Returns how many pairs of tasks of the two jobs to place at once on the machine that is the best one for a pair. */
+const pairsPlaceableOn = (
+  machine: MachineState,
+  job: JobState,
+  partner: JobState,
+  pairDemand: Resources,
+): number =>
+  Math.min(
+    tasksAtOnce(machine, job),
+    tasksAtOnce(machine, partner),
+    fitCount(pairDemand, machine.free),
+  );
+
 /**
  * Returns whether the job has tasks to place. Until recovery from an earlier owner is complete, jobs with tasks that
  * the earlier owner may have started are left out, since those tasks may still be running.
--- a/src/core/placement/zones.ts
+++ b/src/core/placement/zones.ts
@@ -9,10 +9,7 @@
   const { spec } = job;
   if (spec.zone !== null && spec.zone !== zone) return 0;
   if (!spec.oneZone && !spec.spread) return Infinity;
-  let placedInZone = 0;
-  for (const placement of job.placements.values()) {
-    if (placement.machine.record.zone === zone) placedInZone += 1;
-    else if (spec.oneZone) return 0;
-  }
+  const placedInZone = job.placementsByZone.get(zone) ?? 0;
+  if (spec.oneZone && job.placements.size > placedInZone) return 0;
   return spec.spread ? Math.max(0, Math.ceil(spec.tasks / 2) - placedInZone) : Infinity;
 };
--- a/src/core/preemption/preemption.ts
+++ b/src/core/preemption/preemption.ts
@@ -7,7 +7,9 @@
 import { isFeasible } from '../placement/constraints.js';
 import type { JobState, MachineState, Placement } from '../shard/types.js';
 import type { ShardState } from '../shard/shard-state.js';
+import { hasCapacityFor, tasksThatFit } from '../placement/machine-capacity.js';
 import type { Quotas } from '../placement/quotas.js';
+import { ResourceSum } from '../resource-sum.js';
 import { add, dominantShare, fits, fitCount, type JobSpec, type Resources } from '../model.js';
 
 /** A machine that could take tasks of a job, at once or after `victims` are stopped. */
@@ -57,7 +59,7 @@
         (mayPreempt || accumulatingUids.size === 0 || machinesLeft > 0)
       ) {
         attempts += 1;
-        const isReserved = this.#reserve(job, job.waitingTasks.length, mayPreempt, now);
+        const isReserved = this.#reserve(job, job.waitingTasks.size, mayPreempt, now);
         if (isReserved || (accumulatingUids.size > 0 && machinesLeft <= 0)) continue;
         accumulatingUids.add(job.spec.uid);
         machinesLeft -= this.#reservePartially(job, now);
@@ -79,26 +81,18 @@
   }
 
   /**
-   * Returns whether `victim` may be stopped for `job`: it has a lower rank, or its team exceeds its guarantee while the
-   * team of the job, a different one, stays within its own.
+   * Returns whether tasks of `victim` may be stopped for `job`: it has a lower rank, or its team exceeds its guarantee
+   * while the team of the job, a different one, stays within its own.
    */
-  #mayPreempt(job: JobState, victim: Placement): boolean {
-    if (victim.job.priorityRank < job.priorityRank) return true;
+  #mayPreempt(job: JobState, victim: JobState): boolean {
+    if (victim.priorityRank < job.priorityRank) return true;
     return (
-      victim.job.spec.team !== job.spec.team &&
+      victim.spec.team !== job.spec.team &&
       this.quotas.staysWithinGuarantee(job) &&
-      this.quotas.exceedsGuarantee(victim.job.spec.team)
+      this.quotas.exceedsGuarantee(victim.spec.team)
     );
   }
 
-  /** Returns the seconds of work that are lost if a task is stopped now. Stopping a task of a gang stops all of it. */
-  #lostWorkS(placement: Placement, now: number): number {
-    const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000;
-    const { checkpointS, saveS, kind } = placement.job.spec;
-    const tasks = kind === 'gang' ? placement.job.placements.size : 1;
-    return (checkpointS > 0 ? saveS : ranS) * tasks;
-  }
-
   /**
    * Reserves machines for so many tasks of the job, those with the least loss first, and stops the tasks that are in
    * the way. Returns true if the job has enough machines. Otherwise reserves nothing and returns false.
@@ -109,7 +103,7 @@
     const fullyReserved = reserved.filter((m) => m.reservation?.partial !== true);
     let missing = tasks;
     for (const machine of fullyReserved)
-      missing -= fitCount(job.spec.demand, this.#freeAfterStops(machine));
+      missing -= tasksThatFitAfterStops(machine, job.spec.demand);
     if (missing <= 0) return true;
     const zone = job.spec.oneZone ? (fullyReserved[0]?.record.zone ?? null) : null;
     const options: ReservationOption[] = [];
@@ -149,8 +143,8 @@
         !isFeasible(this.state, machine, job, now)
       )
         continue;
-      const fitsNow = fits(demand, machine.free);
-      const slots = fitCount(demand, fitsNow ? machine.free : machine.type);
+      const fitsNow = hasCapacityFor(machine, demand);
+      const slots = fitsNow ? tasksThatFit(machine, demand) : fitCount(demand, machine.type);
       const lossS = fitsNow ? 0 : this.#remainingS(machine, now);
       const isReserved = machine.reservation?.uid === uid;
       options.push({ machine, slots, victims: [], lossS, isReserved });
@@ -159,12 +153,12 @@
     const zone = oneZone ? (reserved[0]?.machine.record.zone ?? null) : null;
     const usable = oneZone
       ? zone === null
-        ? optionsOfBestZone(options, job.waitingTasks.length)
+        ? optionsOfBestZone(options, job.waitingTasks.size)
         : options.filter(({ machine }) => machine.record.zone === zone)
       : options;
     // Machines that are reserved already come first: otherwise the gang would start anew whenever the order changes.
     usable.sort((a, b) => Number(b.isReserved) - Number(a.isReserved) || a.lossS - b.lossS);
-    let missing = job.waitingTasks.length;
+    let missing = job.waitingTasks.size;
     let machines = 0;
     for (const { machine, slots } of usable) {
       if (missing <= 0) break;
@@ -185,15 +179,6 @@
     return longestS;
   }
 
-  /** Returns the free capacity of the machine once all tasks that are being stopped are gone. */
-  #freeAfterStops(machine: MachineState): Resources {
-    let free = machine.free;
-    for (const { stop, job } of machine.tasks.values()) {
-      if (stop !== null) free = add(free, job.spec.demand);
-    }
-    return free;
-  }
-
   /** Returns the seconds that the machine needs to fetch the image of the job; 0 if it holds the image. */
   #fetchS(machine: MachineState, spec: JobSpec): number {
     return machine.images.has(spec.image) ? 0 : spec.imageGb / (machine.type?.fetchGbPerS ?? 1);
@@ -211,17 +196,15 @@
   ): ReservationOption | null {
     const { demand } = job.spec;
     const fetchS = this.#fetchS(machine, job.spec);
-    if (fits(demand, machine.free)) {
-      return { machine, slots: fitCount(demand, machine.free), victims: [], lossS: fetchS };
+    if (hasCapacityFor(machine, demand)) {
+      return { machine, slots: tasksThatFit(machine, demand), victims: [], lossS: fetchS };
     }
-    if (!mayPreempt) return null;
+    const preemptibleJobs = mayPreempt ? this.#preemptibleJobs(machine, job) : null;
+    if (preemptibleJobs === null) return null;
     let free = machine.free;
     let lossS = fetchS;
     const victims: Placement[] = [];
-    const preemptible = [...machine.tasks.values()]
-      .filter((placement) => this.#mayPreempt(job, placement))
-      .sort((a, b) => this.#lostWorkS(a, now) - this.#lostWorkS(b, now));
-    for (const placement of preemptible) {
+    for (const { placement, lostWorkS } of this.#byLostWork(machine, preemptibleJobs, now)) {
       if (fits(demand, free)) break;
       const { demand: victimDemand } = placement.job.spec;
       free = add(free, victimDemand);
@@ -229,13 +212,55 @@
         victims.push(placement);
         // Scaled to seconds of the whole machine, so that it can be compared with the time to fetch the image.
         const share = dominantShare(victimDemand, machine.type ?? this.state.largestCapacity);
-        lossS += this.#lostWorkS(placement, now) * share;
+        lossS += lostWorkS * share;
       }
     }
     return fits(demand, free) ? { machine, slots: 1, victims, lossS } : null;
   }
+
+  /** Returns the jobs on the machine that may be preempted for `job`; null if that would not free enough capacity. */
+  #preemptibleJobs(machine: MachineState, job: JobState): ReadonlySet<JobState> | null {
+    const preemptible = new Set<JobState>();
+    let free = machine.free;
+    for (const [present, tasks] of machine.tasksByJob) {
+      if (!this.#mayPreempt(job, present)) continue;
+      preemptible.add(present);
+      free = add(free, present.spec.demand, tasks);
+    }
+    return fits(job.spec.demand, free) ? preemptible : null;
+  }
+
+  /** Returns the tasks of the jobs on the machine, those whose stop loses the least work first. */
+  #byLostWork(
+    machine: MachineState,
+    jobs: ReadonlySet<JobState>,
+    now: number,
+  ): { readonly placement: Placement; readonly lostWorkS: number }[] {
+    return [...machine.tasks.values()]
+      .filter((placement) => jobs.has(placement.job))
+      .map((placement) => ({ placement, lostWorkS: lostWorkIfStoppedS(placement, now) }))
+      .sort((a, b) => a.lostWorkS - b.lostWorkS);
+  }
 }
 
+/** Returns the seconds of work that are lost if a task is stopped now. Stopping a task of a gang stops all of it. */
+const lostWorkIfStoppedS = (placement: Placement, now: number): number => {
+  const ranS = placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000;
+  const { checkpointS, saveS, kind } = placement.job.spec;
+  const tasks = kind === 'gang' ? placement.job.placements.size : 1;
+  return (checkpointS > 0 ? saveS : ranS) * tasks;
+};
+
+/** Returns how many tasks with this demand the machine can take once all tasks that are being stopped are gone. */
+const tasksThatFitAfterStops = (machine: MachineState, demand: Resources): number => {
+  const free = new ResourceSum();
+  free.add(machine.free);
+  for (const { stop, job } of machine.tasks.values()) {
+    if (stop !== null) free.add(job.spec.demand);
+  }
+  return fitCount(demand, free.value);
+};
+
 /**
  * Returns the options of one zone: of the zones with enough slots, the one with the least mean loss; if no zone has
  * enough, the one with the most slots. Of equal zones it is the first by name.
--- a/src/core/reachability/failure-tracker.ts
+++ b/src/core/reachability/failure-tracker.ts
@@ -21,6 +21,7 @@
 
 /** Whether some task of the job has run for longer than `SUSPECT_JOB_PROBE_MS`. */
 const hasStableTask = (job: JobState, now: number): boolean => {
+  if (job.runningTasks === 0) return false;
   for (const { runningSince } of job.placements.values()) {
     if (runningSince !== null && now - runningSince > SUSPECT_JOB_PROBE_MS) return true;
   }
@@ -33,7 +34,7 @@
  */
 export const tasksNeedingCapacity = (job: JobState, now: number): number => {
   if (job.ended) return 0;
-  const waiting = job.waitingTasks.length;
+  const waiting = job.waitingTasks.size;
   if (!isSuspect(job)) return waiting;
   if (job.backoffUntil > now) return 0;
   if (job.spec.kind === 'gang' || hasStableTask(job, now)) return waiting;
--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -1,6 +1,11 @@
 /** Computes the commands that bring workers in line with the state of a shard. */
 import type { Command, Heartbeat, ReportedTask } from '../model.js';
-import { FORGET_BATCH_LIMIT, FORGET_DELAY_MAX_MS, STOP_OVERDUE_MARGIN_S } from './constants.js';
+import {
+  FORGET_BATCH_LIMIT,
+  FORGET_DELAY_MAX_MS,
+  MAX_DIRECT_COMMANDS_PER_ROUND,
+  STOP_OVERDUE_MARGIN_S,
+} from './constants.js';
 import { attemptKey, isUndispatched, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
 import type { DirectCommandBatch, MachineState, Placement } from './types.js';
@@ -91,23 +96,14 @@
   /** Returns the starts and stops to send without waiting for a heartbeat, for at most `maxMachines` machines. */
   directCommands(now: number, maxMachines: number, mayStart: boolean): DirectCommandBatch[] {
     const batches: DirectCommandBatch[] = [];
+    let commandCount = 0;
     for (const machine of this.state.machines.values()) {
-      if (batches.length >= maxMachines) break;
-      if (machine.address === null || !this.state.health.isFresh(machine, now)) continue;
-      const commands: Command[] = [];
-      const starts: Placement[] = [];
-      for (const placement of machine.tasks.values()) {
-        if (placement.stop !== null && !placement.stop.sentDirectly) {
-          placement.stop.sentDirectly = true;
-          commands.push(stopCommand(placement, remainingGraceS(placement, now)));
-        } else if (mayStart && isUndispatched(placement) && isStartable(placement)) {
-          placement.directStartUnsettled = true;
-          starts.push(placement);
-          machine.unsettledDirectStarts.add(placementKey(placement));
-          commands.push(startCommand(placement));
-        }
-      }
-      if (commands.length > 0) batches.push({ machine, commands, starts });
+      if (batches.length >= maxMachines || commandCount >= MAX_DIRECT_COMMANDS_PER_ROUND) break;
+      if (!machine.hasPendingCommands || machine.address === null) continue;
+      if (!this.state.health.isFresh(machine, now)) continue;
+      const batch = directCommandsOf(machine, now, mayStart);
+      if (batch.commands.length > 0) batches.push(batch);
+      commandCount += batch.commands.length;
     }
     return batches;
   }
@@ -116,11 +112,38 @@
   settleDirectStarts(starts: readonly Placement[], executed: boolean): void {
     for (const placement of starts) {
       placement.machine.unsettledDirectStarts.delete(placementKey(placement));
-      if (!executed) placement.directStartUnsettled = false;
+      if (executed) continue;
+      placement.directStartUnsettled = false;
+      placement.machine.hasPendingCommands = true;
     }
   }
 }
 
+/** Returns the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
+const directCommandsOf = (
+  machine: MachineState,
+  now: number,
+  mayStart: boolean,
+): DirectCommandBatch => {
+  const commands: Command[] = [];
+  const starts: Placement[] = [];
+  let hasUnsentStarts = false;
+  for (const placement of machine.tasks.values()) {
+    if (placement.stop !== null && !placement.stop.sentDirectly) {
+      placement.stop.sentDirectly = true;
+      commands.push(stopCommand(placement, remainingGraceS(placement, now)));
+    } else if (!isUndispatched(placement)) continue;
+    else if (mayStart && isStartable(placement)) {
+      placement.directStartUnsettled = true;
+      starts.push(placement);
+      machine.unsettledDirectStarts.add(placementKey(placement));
+      commands.push(startCommand(placement));
+    } else hasUnsentStarts = true;
+  }
+  machine.hasPendingCommands = hasUnsentStarts;
+  return { machine, commands, starts };
+};
+
 const startCommand = ({ job, index, attempt }: Placement): Command => ({
   op: 'start',
   uid: job.spec.uid,
--- a/src/core/shard/constants.ts
+++ b/src/core/shard/constants.ts
@@ -32,3 +32,9 @@
 
 /** After a migration of tasks of a job, successful or not, the job migrates no tasks for this long. */
 export const MIGRATION_COOLDOWN_MS = 5000;
+
+/**
+ * Direct commands after which a round sends no further message, so that it does not delay the renewal of the node's
+ * lease. The rest follows in the next round or with the answers to heartbeats.
+ */
+export const MAX_DIRECT_COMMANDS_PER_ROUND = 5000;
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -59,28 +59,33 @@
     complete: boolean,
   ): ReadonlySet<string> {
     const listed = new Set<string>();
-    machine.unknownTaskCount = 0;
+    let unknownTaskCount = 0;
     for (const task of tasks) {
       listed.add(attemptKey(task));
-      this.#reconcileTask(machine, task, now, complete);
+      const isKnown = this.#reconcileTask(machine, task, now, complete);
+      if (!isKnown) unknownTaskCount += 1;
     }
-    machine.unknownTasksSince =
-      machine.unknownTaskCount === 0 ? null : (machine.unknownTasksSince ?? now);
+    this.state.recordUnknownTasks(machine, unknownTaskCount, now);
     return listed;
   }
 
-  #reconcileTask(machine: MachineState, task: ReportedTask, now: number, complete: boolean): void {
+  /** Reconciles one listed task. Returns false if it is running and has no placement in this shard. */
+  #reconcileTask(
+    machine: MachineState,
+    task: ReportedTask,
+    now: number,
+    complete: boolean,
+  ): boolean {
     const job = this.state.jobs.get(task.uid);
     let placement = machine.tasks.get(taskKey(task.uid, task.index));
     if (placement !== undefined && placement.attempt !== task.attempt) placement = undefined;
     if (task.state === 'exited') {
       this.#reconcileExit(machine, job, placement, task, now);
-      return;
+      return true;
     }
     if (placement === undefined) {
       if (!complete || job === undefined || !isAdoptable(machine, job, task)) {
-        machine.unknownTaskCount += 1;
-        return;
+        return false;
       }
       placement = this.state.adopt(job, task.index, task.attempt, machine, now);
     } else if (!placement.observed) {
@@ -89,12 +94,13 @@
       placement.observed = true;
     }
     const before = placement.state;
-    placement.state = task.state;
+    this.state.recordTaskState(placement, task.state);
     if (task.state === 'running' && before !== 'running') {
       placement.runningSince ??= now;
       this.state.recordEvent('running', placement, now);
       recordCachedImage(machine, placement.job.spec);
     } else if (task.state === 'waiting') recordCachedImage(machine, placement.job.spec);
+    return true;
   }
 
   /** Handles placements that are missing from a complete list: they have ended, or their start was lost. */
@@ -110,6 +116,7 @@
       if (placement.observed) this.state.release(placement, now);
       else if (source === 'heartbeat' && hasLostStart(placement, counter)) {
         placement.startSentCounter = null;
+        machine.hasPendingCommands = true;
         this.#recordLostCommand(machine, now);
         const unwanted = placement.stop !== null || placement.job.ended;
         if (!placement.directStartUnsettled && unwanted) this.state.release(placement, now);
@@ -153,17 +160,13 @@
     index: number,
     now: number,
   ): void {
-    const completed = job.spec.kind === 'gang' ? [...job.ownTasks] : [index];
-    const newlyCompleted = completed.filter(
-      (task) => !job.savedCompletions.has(task) && !job.unsavedCompletions.has(task),
-    );
+    const newlyCompleted = newlyCompletedTasks(job, index);
     // Completed tasks stay in the list for a while. If each listing counted as a success, a machine that fails all of
     // its tasks would look healthy.
     if (newlyCompleted.length === 0 && placement === undefined) return;
-    for (const task of newlyCompleted) job.unsavedCompletions.add(task);
-    // A placed task is not in the queue, and searching a queue of 100,000 tasks for it is expensive.
-    if (placement === undefined || job.spec.kind === 'gang') {
-      job.waitingTasks = job.waitingTasks.filter((task) => !job.unsavedCompletions.has(task));
+    for (const task of newlyCompleted) {
+      job.unsavedCompletions.add(task);
+      job.waitingTasks.delete(task);
     }
     this.#failures.recordTaskSuccess(machine, job);
     if (placement !== undefined && placement.runningSince !== null) {
@@ -194,6 +197,16 @@
   }
 }
 
+/** Returns the tasks that are shown to be completed by the completion of one task and were not known to be. */
+const newlyCompletedTasks = (job: JobState, index: number): number[] => {
+  const isNew = (task: number) =>
+    !job.savedCompletions.has(task) && !job.unsavedCompletions.has(task);
+  if (job.spec.kind !== 'gang') return isNew(index) ? [index] : [];
+  // All tasks of a gang complete together, and each of their workers lists that.
+  const completedCount = job.savedCompletions.size + job.unsavedCompletions.size;
+  return completedCount === job.ownTasks.size ? [] : [...job.ownTasks].filter(isNew);
+};
+
 /** Records the counter, the time and the sender's address of a task list, and a preemption notice in it. */
 const recordStatus = (machine: MachineState, heartbeat: Heartbeat, now: number): void => {
   machine.agentEpoch = heartbeat.agentEpoch;
--- a/src/core/shard/lease-expiry.ts
+++ b/src/core/shard/lease-expiry.ts
@@ -15,10 +15,7 @@
     if (machine.confirmedSince !== null && now - machine.leaseRenewedAt > leaseMs) {
       endLease(state, machine, now);
     }
-    for (const placement of [...machine.tasks.values()]) {
-      const overdue = now - placement.placedAt > UNDISPATCHED_START_TIMEOUT_MS;
-      if (overdue && isUndispatched(placement)) state.release(placement, now);
-    }
+    if (machine.hasPendingCommands) releaseOverdueStarts(state, machine, now);
     if (machine.reservation !== null && now > machine.reservation.until) machine.reservation = null;
     if (machine.lifecycle === 'orphaned' && machine.tasks.size === 0) {
       state.removeMachine(machine.record.name, now);
@@ -26,6 +23,14 @@
   }
 };
 
+/** Releases the placements of a machine whose start was not sent in time. */
+const releaseOverdueStarts = (state: ShardState, machine: MachineState, now: number): void => {
+  for (const placement of [...machine.tasks.values()]) {
+    const overdue = now - placement.placedAt > UNDISPATCHED_START_TIMEOUT_MS;
+    if (overdue && isUndispatched(placement)) state.release(placement, now);
+  }
+};
+
 /**
  * Releases all tasks of a machine whose lease has expired. Under this shard's term only this shard's answers renew the
  * lease, and the last one is too old, so the worker has killed its tasks, whether or not it is reachable.
--- a/src/core/shard/placements.ts
+++ b/src/core/shard/placements.ts
@@ -18,6 +18,8 @@
 
 /** Whether the machine's worker has listed a service replica that is placed there. */
 export const hostsServiceReplicas = (machine: MachineState): boolean => {
+  const services = [...machine.tasksByJob.keys()].filter(({ spec }) => spec.kind === 'service');
+  if (services.length === 0) return false;
   for (const { job, observed } of machine.tasks.values()) {
     if (job.spec.kind === 'service' && observed) return true;
   }
--- a/src/core/shard/range-migration.ts
+++ b/src/core/shard/range-migration.ts
@@ -20,11 +20,10 @@
 ): MigratableTasks | null => {
   const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
   if (!mayMigrate(state, job) || (whole && hasBegun(job))) return null;
-  const waiting = new Set(job.waitingTasks);
   for (const range of record.ranges) {
     if (range.shard !== state.index) continue;
     let from = range.to;
-    while (from > range.from && waiting.has(from - 1)) from -= 1;
+    while (from > range.from && job.waitingTasks.has(from - 1)) from -= 1;
     if (from < range.to && !(whole && from > range.from)) return { range, from };
   }
   return null;
@@ -42,8 +41,9 @@
 
 /** Takes the tasks from..to-1 out of the queue. Called before the transaction that migrates them is sent. */
 export const beginMigration = (job: JobState, from: number, to: number): void => {
-  job.migratingTasks = job.waitingTasks.filter((task) => task >= from && task < to);
-  job.waitingTasks = job.waitingTasks.filter((task) => task < from || task >= to);
+  for (let task = from; task < to; task++) {
+    if (job.waitingTasks.delete(task)) job.migratingTasks.push(task);
+  }
 };
 
 /** Applies the outcome: after a success the tasks belong to the other shard, after a failure they wait here again. */
@@ -53,7 +53,9 @@
   job.nextMigrationAt = now + MIGRATION_COOLDOWN_MS;
   job.unschedulableSince = null;
   if (!succeeded) {
-    if (!job.ended) job.waitingTasks = [...job.waitingTasks, ...tasks].sort((a, b) => a - b);
+    if (job.ended) return;
+    for (const task of tasks) job.waitingTasks.add(task);
+    job.waitingTasks.sort();
     return;
   }
   for (const task of tasks) {
--- a/src/core/shard/shard-queries.ts
+++ b/src/core/shard/shard-queries.ts
@@ -34,7 +34,7 @@
     if (machine.tasks.size === 0 || machine.reservation !== null) continue;
     if (!state.health.isSchedulable(machine, now)) continue;
     let rank = 0;
-    for (const { job } of machine.tasks.values()) rank = Math.max(rank, job.priorityRank + 1);
+    for (const job of machine.tasksByJob.keys()) rank = Math.max(rank, job.priorityRank + 1);
     if (rank <= PRIORITY_RANK.production) preemptible.push({ machine, rank });
   }
   return preemptible;
--- a/src/core/shard/shard-state.ts
+++ b/src/core/shard/shard-state.ts
@@ -2,10 +2,11 @@
  * Holds the state of one shard under one term: its jobs, its machines and the placements of tasks on them. Placements
  * are added, released and stopped only here; the scheduler decides which tasks to place where.
  */
-import { add, largestCapacity, ZERO_RESOURCES, type Resources } from '../model.js';
+import { largestCapacity, type Resources, type TaskState } from '../model.js';
 import { MachineHealth } from '../reachability/machine-health.js';
 import { ATTEMPTS_PER_TERM } from './constants.js';
-import { isUndispatched, taskKey } from './placements.js';
+import { PlacementIndex } from './placement-index.js';
+import { isUndispatched } from './placements.js';
 import type {
   FinishedRun,
   JobState,
@@ -30,6 +31,9 @@
   readonly workCounters: WorkCounters = { machinesVisited: 0, jobsCompared: 0 };
   /** the largest capacity of each resource on any machine type */
   readonly largestCapacity: Resources;
+  readonly #placements = new PlacementIndex();
+  /** machines whose workers list running tasks without a placement in this shard */
+  readonly #machinesWithUnknownTasks = new Set<MachineState>();
   #attemptCount = 0;
   /** cached value of `recovered`, which is read for every waiting job; see `invalidateRecovered` */
   #recovered = false;
@@ -113,6 +117,7 @@
       index,
       attempt,
       machine,
+      zone: machine.record.zone,
       state: 'placed',
       placedAt: now,
       startSentCounter: null,
@@ -121,15 +126,43 @@
       runningSince: null,
       stop: null,
     };
-    const position = job.waitingTasks.indexOf(index);
-    if (position >= 0) job.waitingTasks.splice(position, 1);
-    job.placements.set(index, placement);
-    machine.tasks.set(taskKey(job.spec.uid, index), placement);
+    job.waitingTasks.delete(index);
+    job.gangStopGraceS = null;
+    this.#placements.add(placement);
     if (machine.reservation?.uid === job.spec.uid) machine.reservation = null;
-    this.updateFreeCapacity(machine, now);
+    machine.idleSince = now;
     return placement;
   }
 
+  /** Undoes `place` for a placement whose start was not sent: its task waits again where it did before. */
+  undoPlacement(placement: Placement): void {
+    this.#placements.remove(placement);
+    placement.job.waitingTasks.add(placement.index);
+  }
+
+  /** Records the state of a placed task as its worker lists it. */
+  recordTaskState(placement: Placement, state: Exclude<TaskState, 'exited'>): void {
+    this.#placements.setState(placement, state);
+  }
+
+  /** Returns the total demand of the placed tasks of the team. */
+  usedBy(team: string): Resources {
+    return this.#placements.usedBy(team);
+  }
+
+  /** Records how many running tasks without a placement in this shard the newest task list of the machine has. */
+  recordUnknownTasks(machine: MachineState, count: number, now: number): void {
+    machine.unknownTaskCount = count;
+    machine.unknownTasksSince = count === 0 ? null : (machine.unknownTasksSince ?? now);
+    if (count > 0) this.#machinesWithUnknownTasks.add(machine);
+    else this.#machinesWithUnknownTasks.delete(machine);
+  }
+
+  /** Whether a worker lists running tasks without a placement in this shard. */
+  get hasUnknownTasks(): boolean {
+    return this.#machinesWithUnknownTasks.size > 0;
+  }
+
   /**
    * Removes a placement whose task is proven gone, or whose start was never sent. The task waits again unless it is
    * completed or its job has ended. A gang that loses a task is stopped as a whole.
@@ -140,46 +173,41 @@
     // task that is released twice would be queued twice, and start on two machines.
     if (job.placements.get(index) !== placement) return;
     this.recordEvent(placement.observed ? 'ended' : 'released', placement, now, reason);
-    machine.tasks.delete(taskKey(job.spec.uid, index));
-    job.placements.delete(index);
-    this.updateFreeCapacity(machine, now);
+    this.#placements.remove(placement);
+    if (machine.tasks.size > 0) machine.idleSince = now;
     if (job.ended) {
       if (job.placements.size === 0) this.jobs.delete(job.spec.uid);
       return;
     }
     const completed = job.savedCompletions.has(index) || job.unsavedCompletions.has(index);
-    if (!completed) job.waitingTasks.push(index);
+    if (!completed) job.waitingTasks.addLast(index);
     if (job.spec.kind === 'gang') this.#gangTaskReleased(job, completed, now);
   }
 
   #gangTaskReleased(job: JobState, completed: boolean, now: number): void {
     if (job.placements.size === 0) {
       job.gangBroken = false;
-      job.waitingTasks.sort((a, b) => a - b);
+      job.waitingTasks.sort();
     } else if (!completed && !job.gangBroken) {
       job.gangBroken = true;
       for (const other of [...job.placements.values()]) this.requestStop(other, 0, now);
     }
   }
 
-  /** Computes the machine's free capacity from its placements. */
-  updateFreeCapacity(machine: MachineState, now: number): void {
-    let free: Resources = machine.type ?? ZERO_RESOURCES;
-    for (const { job } of machine.tasks.values()) free = add(free, job.spec.demand, -1);
-    machine.free = free;
-    if (machine.tasks.size > 0) machine.idleSince = now;
-  }
-
   /**
    * Stops a task, or releases it at once if its start was never sent. If a task of a gang gets a grace period to save
    * its progress, all tasks of the gang are stopped: a gang saves its progress only if they all stop at the same time.
    */
   requestStop(placement: Placement, graceS: number, now: number): void {
     const { job } = placement;
-    const wholeGang = job.spec.kind === 'gang' && graceS > 0;
-    for (const target of wholeGang ? [...job.placements.values()] : [placement]) {
-      this.#stop(target, graceS, now);
+    if (job.spec.kind !== 'gang' || graceS <= 0) {
+      this.#stop(placement, graceS, now);
+      return;
     }
+    // A machine that is to be emptied asks for this once for each of its tasks.
+    if (job.gangStopGraceS !== null && job.gangStopGraceS <= graceS) return;
+    job.gangStopGraceS = graceS;
+    for (const target of [...job.placements.values()]) this.#stop(target, graceS, now);
   }
 
   #stop(placement: Placement, graceS: number, now: number): void {
@@ -189,13 +217,14 @@
     }
     if (placement.stop !== null && placement.stop.graceS <= graceS) return;
     placement.stop = { requestedAt: now, graceS, sentDirectly: false };
+    placement.machine.hasPendingCommands = true;
     this.recordEvent('stopping', placement, now, `grace ${graceS} s`);
   }
 
   /** Ends a completed or cancelled job: none of its tasks starts, and running ones are stopped without grace. */
   endJob(job: JobState, now: number): void {
     job.ended = true;
-    job.waitingTasks = [];
+    job.waitingTasks.clear();
     job.unsavedCompletions.clear();
     for (const placement of [...job.placements.values()]) this.requestStop(placement, 0, now);
     if (job.placements.size === 0) this.jobs.delete(job.spec.uid);
@@ -218,6 +247,7 @@
     this.terminatedMachines.add(name);
     for (const placement of [...machine.tasks.values()]) this.release(placement, now);
     this.machines.delete(name);
+    this.#machinesWithUnknownTasks.delete(machine);
   }
 
   /** Adds an event for the log. */
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -175,6 +175,11 @@
     return this.#scheduler.placeAll(now);
   }
 
+  /** Whether the last pass has placed so many tasks that it ended early, so that another one should follow soon. */
+  get isPassIncomplete(): boolean {
+    return this.#scheduler.isPassIncomplete;
+  }
+
   /** Returns the jobs with tasks to place, most urgent first. */
   queue(now: number): JobState[] {
     return this.#scheduler.queue(now);
--- a/src/core/shard/store-synchronizer.ts
+++ b/src/core/shard/store-synchronizer.ts
@@ -1,5 +1,6 @@
 /** Reconciles the jobs and machines of one shard with the records of the store. */
 import { decodeDone } from '../jobs/jobs.js';
+import { TaskQueue } from '../jobs/task-queue.js';
 import { TaskSet } from '../jobs/task-set.js';
 import {
   PRIORITY_RANK,
@@ -11,6 +12,7 @@
 } from '../model.js';
 import { constraintKey } from '../placement/constraints.js';
 import { dominantResource } from '../placement/pairing.js';
+import { ResourceSum } from '../resource-sum.js';
 import type { ShardState } from './shard-state.js';
 import type { ChangedRecords, JobState, MachineState, StoredRecords } from './types.js';
 
@@ -97,6 +99,9 @@
       commandsLostSince: null,
       consecutiveLostCommands: 0,
       tasks: new Map(),
+      tasksByJob: new Map(),
+      hasPendingCommands: false,
+      usedCapacity: new ResourceSum(),
       free: type ?? ZERO_RESOURCES,
       idleSince: now,
       reservation: null,
@@ -143,10 +148,12 @@
       acceptedAt: at,
       // A job's age counts from its acceptance, also after a change of the shard's owner.
       acceptedAtMonotonic: now - Math.max(0, timeOfDayMs - at),
-      waitingTasks: [],
+      waitingTasks: new TaskQueue(),
       ownTasks: new TaskSet(),
       inheritedTasks: new TaskSet(),
       placements: new Map(),
+      placementsByZone: new Map(),
+      runningTasks: 0,
       savedCompletions: new TaskSet(),
       unsavedCompletions: new Set(),
       ended: false,
@@ -156,6 +163,7 @@
       avoidedMachines: new Map(),
       startDeadline: Infinity,
       gangBroken: false,
+      gangStopGraceS: null,
       unschedulableSince: null,
       migratingTasks: [],
       nextMigrationAt: -Infinity,
@@ -171,7 +179,7 @@
       if (range.term !== this.state.term) job.inheritedTasks.add(task);
       // A service never completes, so completions that were saved for it are ignored.
       if (done.has(task) && job.spec.kind !== 'service') job.savedCompletions.add(task);
-      else job.waitingTasks.push(task);
+      else job.waitingTasks.add(task);
     }
   }
 }
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -11,8 +11,11 @@
   ResourceKind,
   Resources,
   TaskRange,
+  TaskState,
   Team,
 } from '../model.js';
+import type { TaskQueue } from '../jobs/task-queue.js';
+import type { ResourceSum } from '../resource-sum.js';
 
 /** Task numbers of one job, iterated in ascending order. */
 export interface TaskNumbers extends Iterable<number> {
@@ -31,6 +34,9 @@
   sentDirectly: boolean;
 }
 
+/** What is known of a placed task; `placed` until its worker has listed it. */
+export type PlacementState = 'placed' | Exclude<TaskState, 'exited'>;
+
 /**
  * A task on a machine, from the decision to start it until it is proven gone. `observed`, `directStartUnsettled` and
  * `startSentCounter` show how far the start has come. They do not exclude each other, since a start may be in flight
@@ -41,7 +47,10 @@
   readonly index: number;
   readonly attempt: number;
   readonly machine: MachineState;
-  state: 'placed' | 'fetching' | 'waiting' | 'running' | 'saving';
+  /** zone of the machine */
+  readonly zone: string;
+  /** set only by `PlacementIndex` */
+  state: PlacementState;
   readonly placedAt: number;
   /** counter of the heartbeat whose answer carried the start; null if no answer did, or that answer was lost */
   startSentCounter: number | null;
@@ -67,14 +76,18 @@
   readonly acceptedAt: number;
   /** the time of acceptance by the monotonic clock */
   readonly acceptedAtMonotonic: number;
-  /** tasks of this shard that are neither completed nor placed, in the order in which they will be placed */
-  waitingTasks: number[];
+  /** tasks of this shard that are neither completed nor placed */
+  readonly waitingTasks: TaskQueue;
   /** all tasks of the job that belong to this shard */
   readonly ownTasks: TaskNumbers;
   /** tasks of this shard that an earlier owner of the shard may have started */
   readonly inheritedTasks: TaskNumbers;
-  /** by task number */
+  /** by task number; see `PlacementIndex` */
   readonly placements: Map<number, Placement>;
+  /** number of placements by zone; a zone without any has no entry */
+  readonly placementsByZone: Map<string, number>;
+  /** number of placements whose task runs */
+  runningTasks: number;
   /** completed tasks whose completion is saved in the store */
   readonly savedCompletions: TaskNumbers;
   /** completed tasks whose completion is not yet saved in the store */
@@ -91,6 +104,8 @@
   startDeadline: number;
   /** whether the gang has lost a task: no task of the gang starts before all of its tasks are gone */
   gangBroken: boolean;
+  /** shortest grace period, in seconds, with which all placed tasks of the gang were stopped; null: they were not */
+  gangStopGraceS: number | null;
   /** time since which its tasks have waited without finding capacity; null if they do not wait */
   unschedulableSince: number | null;
   /** tasks in a migration whose outcome is not known yet; they start nowhere until it is */
@@ -163,8 +178,14 @@
 
 /** The tasks and images on a machine, and its free capacity. */
 export interface MachineWorkload {
-  /** placements on the machine by `taskKey` */
+  /** placements on the machine by `taskKey`; see `PlacementIndex` */
   readonly tasks: Map<string, Placement>;
+  /** number of `tasks` by job; a job without any has no entry */
+  readonly tasksByJob: Map<JobState, number>;
+  /** false if no start and no stop of `tasks` is to be sent by direct command */
+  hasPendingCommands: boolean;
+  /** total demand of `tasks` */
+  readonly usedCapacity: ResourceSum;
   /** capacity minus the demand of `tasks` */
   free: Resources;
   /** time of the last change of the placements that left some; an empty machine counts as idle since then */
--- a/src/peers/shard-directory.ts
+++ b/src/peers/shard-directory.ts
@@ -295,6 +295,6 @@
 ): { done: number; running: number } => {
   const job = shard.jobs.get(uid);
   if (job === undefined) return { done: 0, running: 0 };
-  const running = [...job.placements.values()].filter(({ state }) => state === 'running').length;
-  return { done: job.savedCompletions.size + job.unsavedCompletions.size, running };
+  const done = job.savedCompletions.size + job.unsavedCompletions.size;
+  return { done, running: job.runningTasks };
 };
--- a/src/service/control-loops.ts
+++ b/src/service/control-loops.ts
@@ -115,6 +115,10 @@
     this.#orphanedInstances.tick();
     this.#scaleOut.tick();
     singletons?.tick();
+    const isPassIncomplete = [...shardController.owned.values()].some(
+      ({ shard }) => shard.isPassIncomplete,
+    );
+    if (isPassIncomplete) this.runSoon();
   }
 
   /**
@@ -142,7 +146,10 @@
     const { context, shardController, workload } = this.dependencies;
     for (const [index, { shard }] of shardController.owned) {
       for (const run of shard.finishedRuns.splice(0)) workload.recordRun(run.jobClass, run.runS);
-      for (const { uid, ...event } of shard.events.splice(0)) {
+      const events = shard.events.splice(0);
+      // A pass may place as many tasks as the largest job has.
+      if (!context.log.isLevelEnabled('debug')) continue;
+      for (const { uid, ...event } of events) {
         context.log.debug({ job: uid, shard: index, term: shard.term, ...event }, 'task changed');
       }
     }
--- a/src/service/summary.ts
+++ b/src/service/summary.ts
@@ -13,7 +13,7 @@
   let waiting = 0;
   let placed = 0;
   for (const job of shard.jobs.values()) {
-    waiting += job.waitingTasks.length;
+    waiting += job.waitingTasks.size;
     placed += job.placements.size;
   }
   const machines = [...shard.machines.values()];
--- a/src/shards/completions/completion-collector.ts
+++ b/src/shards/completions/completion-collector.ts
@@ -16,19 +16,40 @@
 interface RangeProgress {
   readonly job: JobState;
   readonly range: TaskRange;
+  /** tasks of the range whose completion is not saved yet; at least one */
+  readonly unsavedTasks: readonly number[];
   /** whether the job has no open task left in this shard, so that the end of the job may depend on this range */
   readonly isUrgent: boolean;
 }
 
 const hasOpenTasks = (job: JobState): boolean =>
-  job.waitingTasks.length + job.placements.size + job.migratingTasks.length > 0;
+  job.waitingTasks.size + job.placements.size + job.migratingTasks.length > 0;
 
 const completedTasks = (job: JobState): { has(index: number): boolean } => ({
   has: (index) => job.savedCompletions.has(index) || job.unsavedCompletions.has(index),
 });
 
-const unsavedIn = (job: JobState, { from, to }: TaskRange): number[] =>
-  [...job.unsavedCompletions].filter((index) => index >= from && index < to);
+/**
+ * Groups task numbers by the range that holds them; numbers in none of the ranges are left out. Tasks end roughly in
+ * ascending order, so the range of a task is mostly that of the task before it.
+ */
+const groupByRange = (
+  tasks: Iterable<number>,
+  ranges: readonly TaskRange[],
+): Map<TaskRange, number[]> => {
+  const groups = new Map<TaskRange, number[]>();
+  let current: TaskRange | undefined;
+  for (const task of tasks) {
+    if (current === undefined || task < current.from || task >= current.to) {
+      current = ranges.find(({ from, to }) => task >= from && task < to);
+    }
+    if (current === undefined) continue;
+    const group = groups.get(current);
+    if (group === undefined) groups.set(current, [task]);
+    else group.push(task);
+  }
+  return groups;
+};
 
 /**
  * Returns whether every task of the job is done. For tasks of this shard its own state decides, for tasks of other
@@ -78,7 +99,7 @@
 ): void => {
   const slots = CompletionSlots.load(cache, shard, storeLimits.valueBytes);
   const changed = new Set<number>();
-  for (const { job, range } of progress) {
+  for (const { job, range, unsavedTasks } of progress) {
     const { uid } = job.spec;
     const name = rangeName(uid, range.from);
     const bitmap = encodeDone(range, completedTasks(job));
@@ -90,7 +111,7 @@
       changed.add(slot);
     }
     slots.get(slot).set(name, bitmap);
-    batch.savedTasks.push({ uid, indexes: unsavedIn(job, range) });
+    batch.savedTasks.push({ uid, indexes: unsavedTasks });
   }
   for (const slot of changed) slots.addWrite(batch, slot);
 };
@@ -112,11 +133,12 @@
     addFinishedJob(batch, job, active.revision);
     return [];
   }
-  return ownRanges
-    .filter(({ from, to }) =>
-      [...job.unsavedCompletions].some((index) => index >= from && index < to),
-    )
-    .map((range) => ({ job, range, isUrgent: !isOpen }));
+  return [...groupByRange(job.unsavedCompletions, ownRanges)].map(([range, unsavedTasks]) => ({
+    job,
+    range,
+    unsavedTasks,
+    isUrgent: !isOpen,
+  }));
 };
 
 /**
--- a/test/budget.test.ts
+++ b/test/budget.test.ts
@@ -110,7 +110,7 @@
   const owned = ownedShard(shard);
   const finish = (uid: string, index: number) => {
     const state = shard.jobs.get(uid)!;
-    state.waitingTasks = state.waitingTasks.filter((waiting) => waiting !== index);
+    state.waitingTasks.delete(index);
     state.unsavedCompletions.add(index);
   };
   for (const uid of uids) finish(uid, 0);
@@ -204,7 +204,7 @@
   });
   const complete = (index: number) => {
     state.unsavedCompletions.add(index);
-    state.waitingTasks = state.waitingTasks.filter((waiting) => waiting !== index);
+    state.waitingTasks.delete(index);
   };
   const save = async () => {
     now += PROGRESS_SAVE_INTERVAL_MS + COMPLETION_SAVE_INTERVAL_MS;
@@ -229,7 +229,7 @@
   // In the opposite order, the late write is carried out first, and the newer one is repeated on top of its result.
   complete(2);
   await saveWithoutAnswer();
-  state.waitingTasks = [0];
+  state.waitingTasks.add(0);
   for (const carryOut of unanswered.splice(1)) assert.equal(carryOut().ok, true);
   await save();
   store.applyTo(cache, 'changes');
--- a/test/design.test.ts
+++ b/test/design.test.ts
@@ -3,7 +3,9 @@
 import { test } from 'node:test';
 import { admit } from '../src/core/jobs/admission.js';
 import { chooseShard, splitIntoRanges, decodeDone, encodeDone } from '../src/core/jobs/jobs.js';
+import { TaskQueue } from '../src/core/jobs/task-queue.js';
 import { shareOf, type Resources } from '../src/core/model.js';
+import { ResourceSum } from '../src/core/resource-sum.js';
 import {
   findComplement,
   demandDeviation,
@@ -222,3 +224,60 @@
     );
   }
 });
+
+test('a running sum of small decimals does not drift', () => {
+  const random = seededRandomInt(9);
+  const amounts = [0.1, 0.0005, 1 / 3, 57, 310, 1e-9];
+  const sum = new ResourceSum();
+  const present: Resources[] = [];
+  for (let step = 0; step < 200_000; step++) {
+    if (present.length > 0 && random(2) === 0) {
+      const [removed] = present.splice(random(present.length), 1);
+      sum.remove(removed!);
+      continue;
+    }
+    const amount = amounts[random(amounts.length)]!;
+    const added = resources(amount, amount / 7, amount * 3);
+    present.push(added);
+    sum.add(added);
+  }
+  for (const amount of present) sum.remove(amount);
+  const { cpus, gpus, memoryGb } = sum.value;
+  for (const rest of [cpus, gpus, memoryGb]) assert.ok(Math.abs(rest) < 1e-12, `${rest} left`);
+});
+
+test('a task queue holds tasks that were never placed in ascending order, then returned ones', () => {
+  const random = seededRandomInt(4);
+  const queue = new TaskQueue();
+  let ascending: number[] = [];
+  let returned: number[] = [];
+  for (let step = 0; step < 20_000; step++) {
+    const task = random(200);
+    const has = ascending.includes(task) || returned.includes(task);
+    switch (random(4)) {
+      case 0:
+        assert.equal(queue.delete(task), has);
+        ascending = ascending.filter((other) => other !== task);
+        returned = returned.filter((other) => other !== task);
+        break;
+      case 1:
+        queue.addLast(task);
+        if (!has) returned.push(task);
+        break;
+      case 2:
+        queue.add(task);
+        returned = returned.filter((other) => other !== task);
+        ascending = [...new Set([...ascending, task])].sort((a, b) => a - b);
+        break;
+      default:
+        if (random(50) > 0) break;
+        queue.sort();
+        ascending = [...ascending, ...returned].sort((a, b) => a - b);
+        returned = [];
+    }
+    assert.equal(queue.has(task), ascending.includes(task) || returned.includes(task));
+    assert.equal(queue.first, ascending[0] ?? returned[0]);
+    assert.equal(queue.size, ascending.length + returned.length);
+  }
+  assert.deepEqual([...queue], [...ascending, ...returned]);
+});
--- a/test/machine-faults.test.ts
+++ b/test/machine-faults.test.ts
@@ -141,7 +141,7 @@
       ],
       tasks: machineState && [...machineState.tasks.keys()],
       job: jobState && [
-        jobState.waitingTasks.length,
+        jobState.waitingTasks.size,
         [...jobState.placements.keys()],
         [...jobState.savedCompletions],
         [...jobState.unsavedCompletions],
@@ -260,7 +260,7 @@
     for (; now < withinS * 1000; now += 600) {
       // The queue always has small jobs.
       while (
-        [...shard.jobs.values()].filter((jobState) => jobState.waitingTasks.length > 0).length < 8
+        [...shard.jobs.values()].filter((jobState) => jobState.waitingTasks.size > 0).length < 8
       ) {
         small += 1;
         store.add(job({ uid: `job-${small}` }));
@@ -301,7 +301,7 @@
   shard.placeAll(200);
   const [first] = [...shard.jobs.get('job-000001')!.placements.values()];
   shard.requestStop(first!, 3, 300);
-  assert.deepEqual(shard.jobs.get('job-000001')?.waitingTasks, [0, 1, 2, 3]);
+  assert.deepEqual([...shard.jobs.get('job-000001')!.waitingTasks], [0, 1, 2, 3]);
 });
 
 test('a job that missed a start objective stays ahead of newer jobs until it has begun', () => {
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -20,6 +20,7 @@
 import type { Shard } from '../src/core/shard/shard.js';
 import { seededRandomInt } from '../src/random.js';
 import { job, LEASE_MS, machine, shardWith, Store } from './helpers.js';
+import { assertDerivedState } from './standins/derived-state.js';
 import { CANCEL_MS, FakeWorker, World } from './standins/worker.js';
 
 /** Direct commands that the network delivers at time `at`, after their sender stopped waiting for the answer. */
@@ -266,6 +267,7 @@
       delayedSaves.splice(delayedSaves.indexOf(delayed), 1);
       delayed.save();
     }
+    assertDerivedState(shard);
     world.checkCancellations(now);
     if (world.violations.length > 0) break;
   }
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -116,7 +116,7 @@
   const store = new Store().add(machine('a'), service({ tasks: 2 }));
   store.doneBitmaps.set(`${UID}/0`, 'c');
   const shard = shardWith(store, 2);
-  assert.equal(shard.jobs.get(UID)?.waitingTasks.length, 2);
+  assert.equal(shard.jobs.get(UID)?.waitingTasks.size, 2);
 });
 
 test('failing replicas are started on other machines with growing backoff, and never given up', () => {
@@ -275,7 +275,7 @@
       pendingRentals: pending,
       idleKeepMs: 1e9,
     });
-    const served = shard.jobs.get(UID)!.waitingTasks.length === 0;
+    const served = shard.jobs.get(UID)!.waitingTasks.size === 0;
     assert.equal(served, zones.length === 0, name);
     const rented = rentals.map(({ zone }) => zone);
     if (zones.length === 0) assert.deepEqual(rented, [], name);
--- a/test/shard.test.ts
+++ b/test/shard.test.ts
@@ -1,7 +1,7 @@
 /** Tests of a shard against simulated workers: placement, heartbeats, commands, leases and changes of owner. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FORGET_DELAY_MAX_MS } from '../src/core/shard/constants.js';
+import { FORGET_DELAY_MAX_MS, UNDISPATCHED_START_TIMEOUT_MS } from '../src/core/shard/constants.js';
 import type { Command } from '../src/core/model.js';
 import type { Shard } from '../src/core/shard/shard.js';
 import { job, LEASE_MS, machine, shardWith, Store } from './helpers.js';
@@ -70,6 +70,21 @@
   assert.deepEqual(starts(exchangeHeartbeat(shard, workerA!, 1200)), ['job-000001/0']);
 });
 
+test('a lost start that may not be sent again at once is given up after a while', () => {
+  const shard = shardWith(new Store().add(machine('a'), job()));
+  const [worker] = createWorkers(['a']);
+  exchangeHeartbeat(shard, worker!, 500);
+  shard.handleCommandStatus(worker!.heartbeat(), 600);
+  shard.placeAll(700);
+  const lost = shard.handleHeartbeat(worker!.heartbeat(), 1000, true);
+  assert.deepEqual(lost.kind === 'answer' ? starts(lost.commands) : [], ['job-000001/0']);
+  assert.deepEqual(shard.directCommands(1100), [], 'the answer has carried the start');
+  // Without authority the owner sends no starts, and the machine falls silent.
+  shard.handleHeartbeat(worker!.heartbeat(), 2000, false);
+  shard.expireLeases(700 + UNDISPATCHED_START_TIMEOUT_MS + 1);
+  assert.equal(shard.jobs.get('job-000001')!.waitingTasks.size, 1);
+});
+
 test('a start in an answer that was lost is sent again with the same attempt number', () => {
   const shard = shardWith(new Store().add(machine('a'), job()));
   const [workerA] = createWorkers(['a']);
@@ -476,11 +491,11 @@
     if (found === null) continue;
     shard.beginMigration(state, found.from, found.range.to);
     shard.placeAll(2000);
-    assert.equal(state.waitingTasks.length, 0, 'its tasks start nowhere meanwhile');
+    assert.equal(state.waitingTasks.size, 0, 'its tasks start nowhere meanwhile');
     assert.equal(shard.migratableTasks(state, record), null, 'no second migration meanwhile');
     shard.endMigration(state, false, 3000);
     assert.equal(
-      state.waitingTasks.length,
+      state.waitingTasks.size,
       found.range.to - found.from,
       'after a failed migration the tasks wait again',
     );
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -14,7 +14,10 @@
 import { countDone, decodeDone, encodeDone } from '../src/core/jobs/jobs.js';
 import { WorkloadStatistics } from '../src/core/capacity/workload-statistics.js';
 import { TaskSet } from '../src/core/jobs/task-set.js';
+import { jobProgressInShard } from '../src/peers/shard-directory.js';
+import type { Heartbeat, JobRecord, ReportedTask } from '../src/core/model.js';
 import { job, machine, machineType, shardWith, spec, Store } from './helpers.js';
+import { WorkCounter } from './standins/work-counter.js';
 
 /** numbers of machines */
 const FLEETS = { small: 1000, large: 4000 };
@@ -54,6 +57,12 @@
 const placedTasks = (shard: Shard): number =>
   [...shard.jobs.values()].reduce((sum, j) => sum + j.placements.size, 0);
 
+/** Makes passes until one is complete: a pass ends early after many placements. */
+const placeEverything = (shard: Shard): void => {
+  do shard.placeAll(1);
+  while (shard.isPassIncomplete);
+};
+
 /** Submits arrays, and gangs of one or two tasks, with several demands: more than the machines can run. */
 const crowdedWork = (store: Store, machines: number): void => {
   const random = seededRandomInt(7);
@@ -77,7 +86,7 @@
     const store = new Store();
     crowdedWork(store, machines);
     const shard = shardOf(store, machines);
-    shard.placeAll(1);
+    placeEverything(shard);
     const placed = placedTasks(shard);
     const firstPass = { ...shard.state.workCounters };
     shard.placeAll(2);
@@ -259,3 +268,199 @@
     }
   }
 });
+
+/** Sizes of one job, in tasks; the larger one is the largest that the protocol allows. */
+const JOB_SIZES = { small: 2000, large: 100_000 };
+const MAX_RANGE = 8192;
+
+/** Steps that an operation may take for each task that it concerns, and for each machine. */
+const STEPS = { perTask: 12, perMachine: 100 };
+
+/**
+ * Most placements of one pass. At up to 20 us each, on a third of a core, that is
+ * at most a tenth of the 6 s for which a node's lease lasts.
+ */
+const ROUND_LIMIT = 10_000;
+
+/** A job of tiny tasks in as many ranges as an owner stores. */
+const hugeJob = (tasks: number, over: Partial<JobSpec>): JobRecord => {
+  const demand = { cpus: 0.0005, gpus: 0, memoryGb: 0.001 };
+  const record = job({ tasks, demand, priority: 'low', checkpointS: 20, saveS: 1, ...over });
+  const ranges: JobRecord['ranges'][number][] = [];
+  for (let from = 0; from < tasks; from += MAX_RANGE) {
+    ranges.push({ from, to: Math.min(tasks, from + MAX_RANGE), shard: 0, term: 1 });
+  }
+  return { ...record, ranges };
+};
+
+/** A shard whose machines run one huge job, and the steps of what the shard does with it. */
+class HugeJobScene {
+  readonly store = new Store();
+  readonly record: JobRecord;
+  readonly machineNames: readonly string[];
+  readonly work = new WorkCounter(() => this.shard);
+  shard: Shard;
+  #counter = 1;
+
+  constructor(tasks: number, over: Partial<JobSpec>) {
+    const record = hugeJob(tasks, over);
+    this.record = { ...record, spec: this.work.counted(record.spec) };
+    this.store.add(this.record);
+    // Twice as many as the tasks need, so that half of them fit into one zone.
+    const machines = Math.ceil(tasks / 200);
+    this.machineNames = Array.from({ length: machines }, (_, i) => nameOf(i));
+    this.machineNames.forEach((name, i) => {
+      this.store.add(machine(name, { zone: i % 2 === 0 ? 'y' : 'z' }));
+    });
+    this.shard = this.#newOwner(1);
+    this.work.watchPlacements();
+  }
+
+  get job() {
+    return this.shard.jobs.get(this.record.spec.uid)!;
+  }
+
+  #newOwner(term: number): Shard {
+    const shard = shardWith(this.store, term);
+    this.shard = shard;
+    for (const name of this.machineNames) {
+      shard.handleCommandStatus(this.heartbeat(name, [], null), 0);
+    }
+    return shard;
+  }
+
+  /** Replaces the shard by that of the next owner, to which no machine has reported yet. */
+  changeOwner(): void {
+    this.shard = shardWith(this.store, this.shard.term + 1);
+    this.work.watchPlacements();
+  }
+
+  heartbeat(
+    name: string,
+    tasks: readonly ReportedTask[],
+    preemptionNoticeS: number | null,
+  ): Heartbeat {
+    this.#counter += 1;
+    const { zone, spot } = this.store.machines.get(name)!.value;
+    const sender = { machine: name, address: 'none:1', type: 'm', zone, spot, agentEpoch: 1 };
+    const fencingToken = this.shard.term;
+    return { ...sender, counter: this.#counter, fencingToken, preemptionNoticeS, tasks };
+  }
+
+  /** The task lists of all machines, with all present tasks in one state. */
+  taskLists(state: ReportedTask['state'], why: ReportedTask['why'] = null) {
+    return [...this.shard.machines.values()].map(({ record: { name }, tasks }) => ({
+      name,
+      tasks: [...Map.prototype.values.call(tasks)].map((placement): ReportedTask => {
+        const { uid } = this.record.spec;
+        return {
+          uid,
+          index: placement.index,
+          attempt: placement.attempt,
+          state,
+          why,
+          saved: false,
+        };
+      }),
+    }));
+  }
+
+  report(lists: ReturnType<HugeJobScene['taskLists']>, noticeS: number | null = null): void {
+    for (const { name, tasks } of lists) {
+      this.shard.handleHeartbeat(this.heartbeat(name, tasks, noticeS), 1, true);
+    }
+  }
+
+  /** Makes passes until one is complete. */
+  placeEverything(): void {
+    do {
+      const before = placedTasks(this.shard);
+      this.shard.placeAll(1);
+      const placed = placedTasks(this.shard) - before;
+      const isBounded = this.record.spec.kind === 'gang' || placed <= ROUND_LIMIT;
+      assert.ok(isBounded, `${placed} placed in a pass`);
+    } while (this.shard.isPassIncomplete);
+  }
+
+  /** Makes rounds of direct commands until there are none left. */
+  sendEverything(): void {
+    for (;;) {
+      const batches = this.shard.directCommands(1);
+      if (batches.length === 0) return;
+    }
+  }
+
+  /** Returns the steps of each operation, with the number of tasks that it concerns. */
+  measure(): { operation: string; steps: number; tasks: number }[] {
+    const measured: { operation: string; steps: number; tasks: number }[] = [];
+    const measure = (operation: string, act: () => void, tasks = this.job.placements.size) => {
+      measured.push({ operation, steps: this.work.stepsOf(act), tasks });
+    };
+    const { uid, kind } = this.record.spec;
+    measure('placing', () => this.placeEverything(), this.record.spec.tasks);
+    measure('a pass that places nothing', () => void this.shard.placeAll(1));
+    measure('direct commands', () => this.sendEverything(), this.record.spec.tasks);
+    const running = this.taskLists('running');
+    measure('heartbeats', () => this.report(running));
+    measure('status to peers', () => void this.shard.allocationRatios(1), 0);
+    measure('answers', () => void jobProgressInShard(this.shard, uid), 0);
+    measure('timeouts', () => this.shard.expireLeases(1));
+    this.changeOwner();
+    measure('recovery', () => this.report(running), this.record.spec.tasks);
+    measure('notices', () => this.report(running, 30));
+    measure('stops', () => this.sendEverything(), this.record.spec.tasks);
+    if (kind !== 'service') {
+      const done = this.taskLists('exited', 'done');
+      measure('completion', () => this.report(done));
+    }
+    const names = this.machineNames;
+    measure('loss of machines', () => names.forEach((name) => this.shard.removeMachine(name, 1)));
+    return measured;
+  }
+}
+
+// Guards against docs/incidents/2026-12-04-tiny-tasks.md: placing a task looked at all other tasks of its machine.
+const HUGE_JOBS: [string, Partial<JobSpec>][] = [
+  ['an array', {}],
+  ['an array in one zone', { oneZone: true }],
+  ['an array spread over zones', { spread: true }],
+  ['an array of a team with a limit', { team: 'limited' }],
+  ['an array of a team with a guarantee', { team: 'guaranteed' }],
+  ['an array without any demand', { demand: { cpus: 0, gpus: 0, memoryGb: 0 } }],
+  ['an array of larger tasks', { demand: { cpus: 0.25, gpus: 0, memoryGb: 0.1 } }],
+  ['a gang', { kind: 'gang' }],
+  ['a gang spread over zones', { kind: 'gang', spread: true }],
+  ['a service', { kind: 'service' }],
+  ['a service spread over zones', { kind: 'service', spread: true }],
+];
+
+for (const [description, over] of HUGE_JOBS) {
+  test(`steps for a task do not grow with the tasks of its job: ${description}`, () => {
+    for (const tasks of Object.values(JOB_SIZES)) {
+      const scene = new HugeJobScene(tasks, over);
+      for (const { operation, steps, tasks: concerned } of scene.measure()) {
+        const limit = STEPS.perTask * concerned + STEPS.perMachine * scene.machineNames.length;
+        assert.ok(
+          steps <= limit,
+          `${operation} of ${tasks} tasks: ${steps} steps for ${concerned} tasks, at most ${limit}`,
+        );
+      }
+    }
+  });
+}
+
+test('preempting many tasks of a gang stops each task of the gang once', () => {
+  const scene = new HugeJobScene(JOB_SIZES.small, { kind: 'gang' });
+  scene.placeEverything();
+  scene.report(scene.taskLists('running'));
+  const urgent = { uid: 'job-000002', priority: 'high' as const, tasks: 1 };
+  scene.store.add(job({ ...urgent, demand: { cpus: 8, gpus: 0, memoryGb: 1 }, types: ['m'] }));
+  // No other machine is of use to the job.
+  for (const state of scene.shard.machines.values()) {
+    if (state.tasks.size === 0) state.terminating = true;
+  }
+  scene.shard.sync(scene.store, 2);
+  const steps = scene.work.stepsOf(() => scene.placeEverything());
+  assert.ok([...scene.job.placements.values()].every(({ stop }) => stop?.graceS === 2));
+  assert.ok(steps <= STEPS.perTask * JOB_SIZES.small, `${steps} steps`);
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -225,7 +225,7 @@
   const shard = shardWith(store, 12);
   const job = shard.jobs.get('job-000001')!;
   assert.equal(job.savedCompletions.size, 7);
-  assert.equal(job.waitingTasks.length, 9);
+  assert.equal(job.waitingTasks.size, 9);
   assert.equal(shard.recovered, false);
   shard.placeAll(0);
   assert.equal(job.placements.size, 0);
