A machine takes as many tasks as its worker can list in 64 KiB

Cause: only resources limited the tasks of a machine. From about 1,150 starts in a message or 1,100 tasks in a report on, the protocol's limit of 64 KiB was exceeded; the message was refused and made again as it was. Change: at most 500 tasks are on a machine, ended ones included that its worker still lists; an entry takes up to 120 bytes with the longest names and numbers. Messages hold at most 500 commands, stops first. Rentals, loads, preemption and the search for a machine for a replica count these places like a resource. Admission is unchanged. Why it works: neither side can build a message over the limit any more, and what waits for a place gets one on another machine or once ended tasks are forgotten.

--- a/src/core/capacity/allocation-ratio.ts
+++ b/src/core/capacity/allocation-ratio.ts
@@ -3,6 +3,7 @@
  * divided by the capacity. A shard has one ratio for each priority rank, since a job waits only behind work that
  * it cannot preempt, and within each rank one for jobs that may use spot machines and one for jobs that may not.
  */
+import { MAX_TASKS_PER_MACHINE } from '../constants.js';
 import { PRIORITY_RANK, RESOURCE_KINDS, type Resources } from '../model.js';
 import { tasksNeedingCapacity } from '../reachability/failure-tracker.js';
 import { isLeaving } from '../reachability/machine-health.js';
@@ -14,24 +15,39 @@
 /** Returns the index, in the list of allocation ratios, of the ratio that applies to a job. */
 export const loadIndex = (rank: number, spot: boolean): number => rank * 2 + Number(spot);
 
-/** A running total of each resource. */
-interface ResourceTotals {
+/** A running total of each resource, and of the tasks that use it or for which machines have space in their lists. */
+interface Totals {
   cpus: number;
   gpus: number;
   memoryGb: number;
+  tasks: number;
 }
 
-const zeroTotals = (): ResourceTotals => ({ cpus: 0, gpus: 0, memoryGb: 0 });
-const zeroTotalsByRank = (): ResourceTotals[] => Array.from({ length: RANK_COUNT }, zeroTotals);
+const TOTAL_KINDS = [...RESOURCE_KINDS, 'tasks'] as const;
 
-const addTo = (total: ResourceTotals, amount: Resources, times = 1): void => {
-  for (const resource of RESOURCE_KINDS) total[resource] += amount[resource] * times;
+const zeroTotals = (): Totals => ({ cpus: 0, gpus: 0, memoryGb: 0, tasks: 0 });
+const zeroTotalsByRank = (): Totals[] => Array.from({ length: RANK_COUNT }, zeroTotals);
+
+const addTo = (total: Totals, amount: Totals): void => {
+  for (const kind of TOTAL_KINDS) total[kind] += amount[kind];
+};
+
+const addTasks = (total: Totals, demand: Resources, tasks: number): void => {
+  for (const resource of RESOURCE_KINDS) total[resource] += demand[resource] * tasks;
+  total.tasks += tasks;
 };
 
+const capacityOfMachine = ({ cpus, gpus, memoryGb }: Resources): Totals => ({
+  cpus,
+  gpus,
+  memoryGb,
+  tasks: MAX_TASKS_PER_MACHINE,
+});
+
 /** The capacity of all ordinary machines, or of all spot machines, and what is allocated there. */
 interface MachinePool {
-  readonly capacity: ResourceTotals;
-  readonly allocatedByRank: ResourceTotals[];
+  readonly capacity: Totals;
+  readonly allocatedByRank: Totals[];
 }
 
 /** Whether the machine counts as capacity: it stays, and is either still booting or heard from lately. */
@@ -42,8 +58,8 @@
 
 /**
  * Returns the allocation ratios of the shard, as `loadIndex` numbers them. Waiting tasks count as allocated. Each
- * ratio is the largest over the resources, first of the ordinary machines alone and then of all machines. Visits
- * every job of every machine once, but not its tasks.
+ * ratio is the largest over the resources and the number of tasks, first of the ordinary machines alone and then of all
+ * machines. Visits every job of every machine once, but not its tasks.
  */
 export const allocationRatios = (state: ShardState, now: number): number[] => {
   const ordinary: MachinePool = { capacity: zeroTotals(), allocatedByRank: zeroTotalsByRank() };
@@ -51,14 +67,14 @@
   for (const machine of state.machines.values()) {
     if (machine.type === null || !countsForRouting(state, machine, now)) continue;
     const pool = machine.record.spot ? spot : ordinary;
-    addTo(pool.capacity, machine.type);
+    addTo(pool.capacity, capacityOfMachine(machine.type));
     for (const [job, tasks] of machine.tasksByJob) {
-      addTo(pool.allocatedByRank[job.priorityRank]!, job.spec.demand, tasks);
+      addTasks(pool.allocatedByRank[job.priorityRank]!, job.spec.demand, tasks);
     }
   }
   const waitingByRank = zeroTotalsByRank();
   for (const job of state.jobs.values()) {
-    addTo(waitingByRank[job.priorityRank]!, job.spec.demand, tasksNeedingCapacity(job, now));
+    addTasks(waitingByRank[job.priorityRank]!, job.spec.demand, tasksNeedingCapacity(job, now));
   }
   const ratios: number[] = [];
   for (let rank = 0; rank < RANK_COUNT; rank++) {
@@ -71,9 +87,9 @@
   return ratios;
 };
 
-/** Returns the largest ratio over the resources of what ranks from `lowestRank` on have allocated. */
+/** Returns the largest ratio over the resources and the number of tasks of what ranks from `lowestRank` on have allocated. */
 const largestRatio = (
-  allocatedByRank: readonly (readonly ResourceTotals[])[],
+  allocatedByRank: readonly (readonly Totals[])[],
   pools: readonly MachinePool[],
   lowestRank: number,
   largest: Resources,
@@ -86,9 +102,8 @@
   }
   // A shard without machines counts as having one, so that its waiting work still gives a finite ratio by which
   // such shards can be compared.
-  const ratioOf = (resource: keyof ResourceTotals) =>
-    allocated[resource] === 0
-      ? 0
-      : allocated[resource] / Math.max(capacity[resource], largest[resource]);
-  return Math.max(...RESOURCE_KINDS.map(ratioOf));
+  const largestMachine = capacityOfMachine(largest);
+  const ratioOf = (kind: keyof Totals) =>
+    allocated[kind] === 0 ? 0 : allocated[kind] / Math.max(capacity[kind], largestMachine[kind]);
+  return Math.max(...TOTAL_KINDS.map(ratioOf));
 };
--- a/src/core/capacity/reachable-capacity.ts
+++ b/src/core/capacity/reachable-capacity.ts
@@ -3,6 +3,7 @@
  * included whose rental is pending. A job for which none is in reach needs a new machine, however little work it
  * has.
  */
+import { MAX_TASKS_PER_MACHINE } from '../constants.js';
 import type { JobState, MachineState } from '../shard/types.js';
 import { add, fitCount, ZERO_RESOURCES, type MachineType, type Resources } from '../model.js';
 import { tasksAllowedInZone } from '../placement/zones.js';
@@ -27,23 +28,26 @@
   (spec.spot || !spot) && (spec.types === null || spec.types.includes(type));
 
 /**
- * Returns the capacity of a machine that a replica of the job could get. Other replicas never end, and tasks of
- * its rank or a higher one are not preempted for it, so both keep theirs; tasks of lower ranks can be preempted.
+ * Returns how many replicas of the job a machine could take. Other replicas never end, and tasks of the job's rank or a
+ * higher one are not preempted for it, so both keep their capacity; tasks of lower ranks can be preempted.
  */
-const capacityForReplicas = (
+const replicasThatFit = (
   machine: MachineState,
   job: JobState,
   preemptionEnabled: boolean,
-): Resources => {
+): number => {
   let free: Resources = machine.type ?? ZERO_RESOURCES;
+  let listable = MAX_TASKS_PER_MACHINE;
   for (const [present, tasks] of machine.tasksByJob) {
     const stays =
       present.spec.kind === 'service' ||
       !preemptionEnabled ||
       present.priorityRank >= job.priorityRank;
-    if (stays) free = add(free, present.spec.demand, -tasks);
+    if (!stays) continue;
+    free = add(free, present.spec.demand, -tasks);
+    listable -= tasks;
   }
-  return free;
+  return Math.max(0, Math.min(fitCount(job.spec.demand, free), listable));
 };
 
 /** The machines that a capacity plan keeps or has asked for, grouped for queries about many waiting jobs. */
@@ -103,8 +107,7 @@
       const avoided = (job.avoidedMachines.get(name) ?? -Infinity) > this.now;
       if (!isService && avoided) addTasks(zone, -fitCount(spec.demand, type));
       if (!isService || avoided) continue;
-      const free = capacityForReplicas(machine, job, this.preemptionEnabled);
-      addTasks(zone, Math.max(0, fitCount(spec.demand, free)));
+      addTasks(zone, replicasThatFit(machine, job, this.preemptionEnabled));
     }
   }
 }
--- a/src/core/capacity/wanted-machines.ts
+++ b/src/core/capacity/wanted-machines.ts
@@ -1,5 +1,6 @@
 /** Computes how many machines of each type a shard needs, from its jobs and from the statistics of their classes. */
 import { IGNORED_MACHINE_FRACTION, DEFAULT_RUN_S } from './constants.js';
+import { MAX_TASKS_PER_MACHINE } from '../constants.js';
 import { feasibleTypes } from '../jobs/admission.js';
 import { tasksNeedingCapacity } from '../reachability/failure-tracker.js';
 import type { ClassStats } from './workload-statistics.js';
@@ -66,7 +67,9 @@
   let cheapest: MachineType | null = null;
   let lowestPrice = Infinity;
   for (const type of feasibleTypes(spec, types)) {
-    const price = (spec.spot ? type.spotPrice : type.price) * dominantShare(spec.demand, type);
+    // However little a task demands, it takes one of a limited number of places in the machine's task list.
+    const share = Math.max(dominantShare(spec.demand, type), 1 / MAX_TASKS_PER_MACHINE);
+    const price = (spec.spot ? type.spotPrice : type.price) * share;
     if (price < lowestPrice) {
       cheapest = type;
       lowestPrice = price;
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -6,5 +6,8 @@
  */
 export const ROUNDING_TOLERANCE = 1e-6;
 
-/** How many tasks without any demand fit on one machine: even such a task costs its worker something. */
-export const ZERO_DEMAND_TASKS_PER_MACHINE = 64;
+/**
+ * Most tasks on one machine, however little each demands. A worker lists all of its tasks in each heartbeat, ended ones
+ * included, and the protocol limits a heartbeat to 64 KiB; the entry of a task takes up to 120 bytes.
+ */
+export const MAX_TASKS_PER_MACHINE = 500;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -2,7 +2,7 @@
  * Data model of the scheduler: resources, jobs, machines, heartbeats and commands, with the arithmetic of resources.
  * This module performs no input or output.
  */
-import { ROUNDING_TOLERANCE, ZERO_DEMAND_TASKS_PER_MACHINE } from './constants.js';
+import { MAX_TASKS_PER_MACHINE, ROUNDING_TOLERANCE } from './constants.js';
 
 /** An amount of each resource: a demand, a capacity, or a share of a capacity. */
 export interface Resources {
@@ -193,14 +193,14 @@
 export const fits = (demand: Resources, free: Resources): boolean =>
   RESOURCE_KINDS.every((kind) => demand[kind] <= free[kind] + ROUNDING_TOLERANCE);
 
-/** Returns how many tasks with this demand fit into the free capacity. */
+/** Returns how many tasks with this demand fit into the free capacity of one machine. */
 export const fitCount = (demand: Resources, free: Resources): number => {
-  let count = Infinity;
+  let count = MAX_TASKS_PER_MACHINE;
   for (const kind of RESOURCE_KINDS) {
     if (demand[kind] <= 0) continue;
     count = Math.min(count, Math.floor((free[kind] + ROUNDING_TOLERANCE) / demand[kind]));
   }
-  return Number.isFinite(count) ? count : ZERO_DEMAND_TASKS_PER_MACHINE;
+  return count;
 };
 
 /** Returns the largest capacity that any machine type has of each resource: C' in the paper. */
--- a/src/core/placement/candidates.ts
+++ b/src/core/placement/candidates.ts
@@ -119,10 +119,11 @@
     partner: JobState | null = null,
     zone: string | null = null,
   ): MachineState | null {
+    const tasks = partner === null ? 1 : 2;
     const accepts = (machine: MachineState): boolean => {
       this.state.workCounters.machinesVisited += 1;
       if (zone !== null && machine.record.zone !== zone) return false;
-      if (!hasCapacityFor(machine, demand) || !satisfiesConstraints(machine, job, this.now))
+      if (!hasCapacityFor(machine, demand, tasks) || !satisfiesConstraints(machine, job, this.now))
         return false;
       return partner === null || satisfiesConstraints(machine, partner, this.now);
     };
--- a/src/core/placement/scheduler.ts
+++ b/src/core/placement/scheduler.ts
@@ -1,9 +1,5 @@
 /** The queue of a shard and the placement of its tasks on machines. */
-import {
-  DEFAULT_START_OBJECTIVE_S,
-  FIRST_TASK_DUE_MS,
-  MAX_PLACEMENTS_PER_PASS,
-} from './constants.js';
+import { FIRST_TASK_DUE_MS, DEFAULT_START_OBJECTIVE_S } from './constants.js';
 import { placeableTasks } from '../reachability/failure-tracker.js';
 import type { JobState, MachineState, Placement } from '../shard/types.js';
 import { type ShardState } from '../shard/shard-state.js';
@@ -12,7 +8,7 @@
 import { ComplementFinder } from './partners.js';
 import type { Preemption } from '../preemption/preemption.js';
 import { Candidates } from './candidates.js';
-import { hasCapacityFor, tasksPlaceableOn } from './machine-capacity.js';
+import { freeTaskSlots, hasCapacityFor, tasksPlaceableOn } from './machine-capacity.js';
 
 /**
  * Orders the waiting jobs of a shard and places their tasks: in full passes over the whole queue, and between them on
@@ -321,9 +317,7 @@
 /** Returns how many tasks of the job to place at once on the machine that is the best one for the next of them. */
 const tasksAtOnce = (machine: MachineState, job: JobState): number =>
   // Each replica of a service changes which machine is the best one for the next replica.
-  job.spec.kind === 'service'
-    ? 1
-    : Math.min(MAX_PLACEMENTS_PER_PASS, tasksPlaceableOn(machine, job));
+  job.spec.kind === 'service' ? 1 : tasksPlaceableOn(machine, job);
 
 /** Returns how many pairs of tasks of the two jobs to place at once on the machine that is the best one for a pair. */
 const pairsPlaceableOn = (
@@ -336,6 +330,7 @@
     tasksAtOnce(machine, job),
     tasksAtOnce(machine, partner),
     fitCount(pairDemand, machine.free),
+    Math.floor(freeTaskSlots(machine) / 2),
   );
 
 /**
--- a/src/core/preemption/preemption.ts
+++ b/src/core/preemption/preemption.ts
@@ -7,7 +7,7 @@
 import { isFeasible } from '../placement/constraints.js';
 import type { JobState, MachineState, Placement } from '../shard/types.js';
 import type { ShardState } from '../shard/shard-state.js';
-import { hasCapacityFor, tasksThatFit } from '../placement/machine-capacity.js';
+import { freeTaskSlots, hasCapacityFor, tasksThatFit } from '../placement/machine-capacity.js';
 import type { Quotas } from '../placement/quotas.js';
 import { ResourceSum } from '../resource-sum.js';
 import { add, dominantShare, fits, fitCount, type JobSpec, type Resources } from '../model.js';
@@ -202,12 +202,14 @@
     const preemptibleJobs = mayPreempt ? this.#preemptibleJobs(machine, job) : null;
     if (preemptibleJobs === null) return null;
     let free = machine.free;
+    let slots = freeTaskSlots(machine);
     let lossS = fetchS;
     const victims: Placement[] = [];
     for (const { placement, lostWorkS } of this.#byLostWork(machine, preemptibleJobs, now)) {
-      if (fits(demand, free)) break;
+      if (slots > 0 && fits(demand, free)) break;
       const { demand: victimDemand } = placement.job.spec;
       free = add(free, victimDemand);
+      slots += 1;
       if (placement.stop === null) {
         victims.push(placement);
         // Scaled to seconds of the whole machine, so that it can be compared with the time to fetch the image.
@@ -215,19 +217,21 @@
         lossS += lostWorkS * share;
       }
     }
-    return fits(demand, free) ? { machine, slots: 1, victims, lossS } : null;
+    return slots > 0 && fits(demand, free) ? { machine, slots: 1, victims, lossS } : null;
   }
 
   /** Returns the jobs on the machine that may be preempted for `job`; null if that would not free enough capacity. */
   #preemptibleJobs(machine: MachineState, job: JobState): ReadonlySet<JobState> | null {
     const preemptible = new Set<JobState>();
     let free = machine.free;
+    let slots = freeTaskSlots(machine);
     for (const [present, tasks] of machine.tasksByJob) {
       if (!this.#mayPreempt(job, present)) continue;
       preemptible.add(present);
       free = add(free, present.spec.demand, tasks);
+      slots += tasks;
     }
-    return fits(job.spec.demand, free) ? preemptible : null;
+    return slots > 0 && fits(job.spec.demand, free) ? preemptible : null;
   }
 
   /** Returns the tasks of the jobs on the machine, those whose stop loses the least work first. */
@@ -255,10 +259,13 @@
 const tasksThatFitAfterStops = (machine: MachineState, demand: Resources): number => {
   const free = new ResourceSum();
   free.add(machine.free);
+  let slots = freeTaskSlots(machine);
   for (const { stop, job } of machine.tasks.values()) {
-    if (stop !== null) free.add(job.spec.demand);
+    if (stop === null) continue;
+    free.add(job.spec.demand);
+    slots += 1;
   }
-  return fitCount(demand, free.value);
+  return Math.min(fitCount(demand, free.value), slots);
 };
 
 /**
--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -7,6 +7,7 @@
   STOP_OVERDUE_MARGIN_S,
 } from './constants.js';
 import { attemptKey, isUndispatched, placementKey, taskKey } from './placements.js';
+import { CommandMessage } from './command-message.js';
 import type { ShardState } from './shard-state.js';
 import type { DirectCommandBatch, MachineState, Placement } from './types.js';
 
@@ -14,38 +15,47 @@
 export class CommandPlanner {
   constructor(private readonly state: ShardState) {}
 
-  /** Returns the commands of the answer to a heartbeat. If `mayStart` is false, no starts are among them. */
+  /**
+   * Returns the commands of the answer to a heartbeat, at most `MAX_COMMANDS_PER_MESSAGE`, the most urgent first. What
+   * does not fit is sent with the next answer. If `mayStart` is false, no starts are among them.
+   */
   answerHeartbeat(
     machine: MachineState,
     heartbeat: Heartbeat,
     now: number,
     mayStart: boolean,
   ): Command[] {
-    const commands: Command[] = [];
+    const stops: Command[] = [];
+    const forgets: Command[] = [];
     // Forgets of completed tasks may wait, since a completed task is never started again.
     const completedForgets: Command[] = [];
     for (const task of heartbeat.tasks) {
-      if (task.state !== 'exited') this.#stopUnwanted(machine, task, now, commands);
+      if (task.state !== 'exited') this.#stopUnwanted(machine, task, now, stops);
       else if (this.#mayForget(machine, task)) {
         const { uid, index, attempt, why } = task;
-        const forgets = why === 'done' ? completedForgets : commands;
-        forgets.push({ op: 'forget', uid, index, attempt });
+        (why === 'done' ? completedForgets : forgets).push({ op: 'forget', uid, index, attempt });
       }
     }
-    if (mayStart) this.#startUnlisted(machine, heartbeat.counter, commands);
-    return this.#shouldSendForgets(machine, completedForgets, commands.length > 0, now)
-      ? [...commands, ...completedForgets]
-      : commands;
+    const message = new CommandMessage();
+    message.addAll(stops);
+    if (mayStart) endUnsettledStarts(machine, message);
+    message.addAll(forgets);
+    if (mayStart) startUnlisted(machine, heartbeat.counter, message);
+    const { commands } = message;
+    if (this.#shouldSendForgets(machine, completedForgets, commands.length > 0, now)) {
+      message.addAll(completedForgets);
+    }
+    return commands;
   }
 
   /** Stops a listed task that has no placement in this shard, or whose placement is to be stopped. */
-  #stopUnwanted(machine: MachineState, task: ReportedTask, now: number, commands: Command[]): void {
+  #stopUnwanted(machine: MachineState, task: ReportedTask, now: number, stops: Command[]): void {
     const { uid, index, attempt } = task;
     const placement = machine.tasks.get(taskKey(uid, index));
     if (placement === undefined || placement.attempt !== attempt) {
-      commands.push({ op: 'stop', uid, index, attempt, graceS: 0 });
+      stops.push({ op: 'stop', uid, index, attempt, graceS: 0 });
     } else if (placement.stop !== null) {
-      commands.push(stopCommand(placement, remainingGraceS(placement, now)));
+      stops.push(stopCommand(placement, remainingGraceS(placement, now)));
     }
   }
 
@@ -59,20 +69,6 @@
     return !unsaved && !machine.unsettledDirectStarts.has(attemptKey(task));
   }
 
-  /** Adds starts for placements that the worker has not listed yet. */
-  #startUnlisted(machine: MachineState, counter: number, commands: Command[]): void {
-    for (const placement of machine.tasks.values()) {
-      if (placement.observed) continue;
-      if (isStartable(placement)) {
-        placement.startSentCounter = counter;
-        commands.push(startCommand(placement));
-      } else if (placement.directStartUnsettled && placement.stop !== null) {
-        // A direct start for an attempt to be stopped may still arrive, and must then find the attempt known and ended.
-        commands.push(startCommand(placement), stopCommand(placement, 0));
-      }
-    }
-  }
-
   /**
    * Whether this answer should tell the worker to forget completed tasks. A worker sends a heartbeat whenever its task
    * list has changed, so a forget on its own costs an extra heartbeat: a quarter of all heartbeats at the fleet's size.
@@ -119,29 +115,57 @@
   }
 }
 
-/** Returns the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
+/** Adds the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
 const directCommandsOf = (
   machine: MachineState,
   now: number,
   mayStart: boolean,
 ): DirectCommandBatch => {
-  const commands: Command[] = [];
+  const message = new CommandMessage();
+  for (const placement of machine.tasks.values()) {
+    if (message.isFull) break;
+    if (placement.stop === null || placement.stop.sentDirectly) continue;
+    placement.stop.sentDirectly = true;
+    message.addAll([stopCommand(placement, remainingGraceS(placement, now))]);
+  }
   const starts: Placement[] = [];
   let hasUnsentStarts = false;
   for (const placement of machine.tasks.values()) {
-    if (placement.stop !== null && !placement.stop.sentDirectly) {
-      placement.stop.sentDirectly = true;
-      commands.push(stopCommand(placement, remainingGraceS(placement, now)));
-    } else if (!isUndispatched(placement)) continue;
-    else if (mayStart && isStartable(placement)) {
-      placement.directStartUnsettled = true;
-      starts.push(placement);
-      machine.unsettledDirectStarts.add(placementKey(placement));
-      commands.push(startCommand(placement));
-    } else hasUnsentStarts = true;
+    if (message.isFull) break;
+    if (!isUndispatched(placement)) continue;
+    if (!mayStart || !isStartable(placement)) {
+      hasUnsentStarts = true;
+      continue;
+    }
+    placement.directStartUnsettled = true;
+    starts.push(placement);
+    machine.unsettledDirectStarts.add(placementKey(placement));
+    message.addAll([startCommand(placement)]);
+  }
+  machine.hasPendingCommands = hasUnsentStarts || message.isFull;
+  return { machine, commands: message.commands, starts };
+};
+
+/** Adds starts for placements that the worker has not listed yet, and marks them as sent with this answer. */
+const startUnlisted = (machine: MachineState, counter: number, message: CommandMessage): void => {
+  for (const placement of machine.tasks.values()) {
+    if (message.isFull) return;
+    if (placement.observed || !isStartable(placement)) continue;
+    placement.startSentCounter = counter;
+    message.addAll([startCommand(placement)]);
+  }
+};
+
+/**
+ * Ends attempts that are to be stopped and whose direct start may still arrive: it must then find the attempt known and
+ * ended.
+ */
+const endUnsettledStarts = (machine: MachineState, message: CommandMessage): void => {
+  for (const placement of machine.tasks.values()) {
+    const { observed, directStartUnsettled, stop } = placement;
+    if (observed || !directStartUnsettled || stop === null) continue;
+    message.addTogether([startCommand(placement), stopCommand(placement, 0)]);
   }
-  machine.hasPendingCommands = hasUnsentStarts;
-  return { machine, commands, starts };
 };
 
 const startCommand = ({ job, index, attempt }: Placement): Command => ({
--- a/src/core/shard/constants.ts
+++ b/src/core/shard/constants.ts
@@ -33,6 +33,9 @@
 /** After a migration of tasks of a job, successful or not, the job migrates no tasks for this long. */
 export const MIGRATION_COOLDOWN_MS = 5000;
 
+/** Most commands in one message to a worker, which the protocol limits to 64 KiB; a command takes up to 120 bytes. */
+export const MAX_COMMANDS_PER_MESSAGE = 500;
+
 /**
  * Direct commands after which a round sends no further message, so that it does not delay the renewal of the node's
  * lease. The rest follows in the next round or with the answers to heartbeats.
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -207,12 +207,19 @@
   return completedCount === job.ownTasks.size ? [] : [...job.ownTasks].filter(isNew);
 };
 
+const countEnded = (tasks: readonly ReportedTask[]): number => {
+  let count = 0;
+  for (const { state } of tasks) if (state === 'exited') count += 1;
+  return count;
+};
+
 /** Records the counter, the time and the sender's address of a task list, and a preemption notice in it. */
 const recordStatus = (machine: MachineState, heartbeat: Heartbeat, now: number): void => {
   machine.agentEpoch = heartbeat.agentEpoch;
   machine.lastStatusCounter = heartbeat.counter;
   machine.address = heartbeat.address;
   machine.reportedTaskCount = heartbeat.tasks.length;
+  machine.endedTaskCount = countEnded(heartbeat.tasks);
   machine.lastStatusAt = now;
   const { preemptionNoticeS } = heartbeat;
   if (preemptionNoticeS === null) machine.preemptionAt = null;
--- a/src/core/shard/shard-queries.ts
+++ b/src/core/shard/shard-queries.ts
@@ -1,6 +1,7 @@
 /** Read-only queries on a shard's state for other modules. */
 import { ROUNDING_TOLERANCE } from '../constants.js';
 import { PRIORITY_RANK } from '../model.js';
+import { freeTaskSlots } from '../placement/machine-capacity.js';
 import { tasksNeedingCapacity } from '../reachability/failure-tracker.js';
 import type { ShardState } from './shard-state.js';
 import type { ClassActivity, MachineState, PreemptibleMachine } from './types.js';
@@ -42,9 +43,11 @@
 
 /** Returns the machines that could take a task now. */
 export const machinesWithFreeCapacity = (state: ShardState, now: number): MachineState[] => {
-  // Every task takes some CPU and memory, so a machine without either can't take any.
-  const hasFreeCapacity = ({ free }: MachineState) =>
-    free.cpus > ROUNDING_TOLERANCE && free.memoryGb > ROUNDING_TOLERANCE;
+  // Nearly every task takes some CPU and memory, so a machine without either is of no use to other shards.
+  const hasFreeCapacity = (machine: MachineState) =>
+    machine.free.cpus > ROUNDING_TOLERANCE &&
+    machine.free.memoryGb > ROUNDING_TOLERANCE &&
+    freeTaskSlots(machine) > 0;
   return [...state.machines.values()].filter(
     (machine) =>
       hasFreeCapacity(machine) &&
--- a/src/core/shard/store-synchronizer.ts
+++ b/src/core/shard/store-synchronizer.ts
@@ -106,6 +106,7 @@
       idleSince: now,
       reservation: null,
       reportedTaskCount: 0,
+      endedTaskCount: 0,
       unknownTaskCount: 0,
       unknownTasksSince: null,
       forgettableSince: null,
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -193,6 +193,8 @@
   reservation: Reservation | null;
   /** number of tasks in the newest task list, ended ones included */
   reportedTaskCount: number;
+  /** number of ended tasks in the newest task list, which its worker lists until it is told to forget them */
+  endedTaskCount: number;
   /** number of listed, running tasks that have no placement in this shard and are being stopped */
   unknownTaskCount: number;
   /** time since which `unknownTaskCount` has been above 0 */
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -277,7 +277,7 @@
 const STEPS = { perTask: 12, perMachine: 100 };
 
 /**
- * Most placements of one pass. At up to 20 us each, on a third of a core, that is
+ * Most placements of one pass, and most direct commands of one round. At up to 20 us each, on a third of a core, that is
  * at most a tenth of the 6 s for which a node's lease lasts.
  */
 const ROUND_LIMIT = 10_000;
@@ -387,6 +387,8 @@
     for (;;) {
       const batches = this.shard.directCommands(1);
       if (batches.length === 0) return;
+      const commands = batches.reduce((sum, batch) => sum + batch.commands.length, 0);
+      assert.ok(commands <= ROUND_LIMIT, `${commands} commands in a round`);
     }
   }
 
