The order of the job queue is a module of its own

Need: scheduler.ts held ordering and placement, 354 lines; partners.ts holds the complement finder. Change: job-queue.ts has the order, unchanged; partners.ts is complement-finder.ts.

--- a/src/core/placement/scheduler.ts
+++ b/src/core/placement/scheduler.ts
@@ -1,17 +1,17 @@
-/** The queue of a shard and the placement of its tasks on machines. */
-import { FIRST_TASK_DUE_MS, DEFAULT_START_OBJECTIVE_S } from './constants.js';
+/** The placement of the waiting tasks of a shard on machines. */
 import { placeableTasks } from '../reachability/failure-tracker.js';
 import type { JobState, MachineState, Placement } from '../shard/types.js';
 import { type ShardState } from '../shard/shard-state.js';
 import type { Quotas } from './quotas.js';
-import { add, fitCount, RESOURCE_KINDS, type Resources } from '../model.js';
-import { ComplementFinder } from './partners.js';
+import { add, fitCount, type Resources } from '../model.js';
+import { ComplementFinder } from './complement-finder.js';
 import type { Preemption } from '../preemption/preemption.js';
 import { Candidates } from './candidates.js';
+import { hasPlaceableTasks, minimumDemandOf, orderedQueue } from './job-queue.js';
 import { freeTaskSlots, hasCapacityFor, tasksPlaceableOn } from './machine-capacity.js';
 
 /**
- * Orders the waiting jobs of a shard and places their tasks: in full passes over the whole queue, and between them on
+ * Places the tasks of the waiting jobs of a shard, most urgent jobs first: in full passes over the whole queue, and between them on
  * single machines whose capacity has become free.
  */
 export class Scheduler {
@@ -28,56 +28,9 @@
     private readonly preemption: Preemption,
   ) {}
 
-  /**
-   * Returns the time (monotonic, ms) by which the tasks of the job should start: its first objective that can still be
-   * met, else its last one. Without objectives it is the latest start that meets the deadline of the job, or a default.
-   */
-  #dueAt(job: JobState, objectivesS: readonly number[], now: number): number {
-    for (const withinS of objectivesS) {
-      const dueAt = job.acceptedAtMonotonic + withinS * 1000;
-      if (dueAt >= now) return dueAt;
-    }
-    const { deadlineS, estimateS } = job.spec;
-    const lastS =
-      objectivesS.at(-1) ??
-      (deadlineS === null ? DEFAULT_START_OBJECTIVE_S : deadlineS - estimateS);
-    return job.acceptedAtMonotonic + lastS * 1000;
-  }
-
-  /**
-   * Returns the jobs with tasks to place, most urgent first: by rank, then guarantee, then due time, then age. The due
-   * time of a job does not change any more once all its objectives are missed. Until the first task of a job has
-   * started, the due time is at most `FIRST_TASK_DUE_MS` after acceptance, so that a steady stream of newer jobs cannot
-   * starve the job.
-   */
+  /** Returns the jobs with tasks to place, most urgent first; see `job-queue.ts`. */
   queue(now: number): JobState[] {
-    const { recovered } = this.state;
-    const objectivesOf = new Map<string, readonly number[]>();
-    const open: { job: JobState; guaranteed: boolean; dueAt: number }[] = [];
-    for (const job of this.state.jobs.values()) {
-      if (!hasPlaceableTasks(job, recovered, now)) continue;
-      const { jobClass } = job.spec;
-      let objectivesS = objectivesOf.get(jobClass);
-      if (objectivesS === undefined) {
-        objectivesS = this.state.settings.startObjectives(jobClass);
-        objectivesOf.set(jobClass, objectivesS);
-      }
-      // A job that has started may wait for its next objective after it has missed one. A job that has not keeps its
-      // due time: otherwise newer jobs would be placed before it again and again.
-      const latestDueAt = hasStarted(job) ? Infinity : job.acceptedAtMonotonic + FIRST_TASK_DUE_MS;
-      const dueAt = Math.min(this.#dueAt(job, objectivesS, now), latestDueAt);
-      job.startDeadline = dueAt;
-      open.push({ job, guaranteed: this.quotas.staysWithinGuarantee(job), dueAt });
-    }
-    open.sort(
-      (a, b) =>
-        b.job.priorityRank - a.job.priorityRank ||
-        Number(b.guaranteed) - Number(a.guaranteed) ||
-        a.dueAt - b.dueAt ||
-        a.job.acceptedAt - b.job.acceptedAt ||
-        (a.job.spec.uid < b.job.spec.uid ? -1 : 1),
-    );
-    return open.map(({ job }) => job);
+    return orderedQueue(this.state, this.quotas, now);
   }
 
   /** Cancels reservations for jobs that have ended or have no waiting tasks. */
@@ -332,23 +285,3 @@
     fitCount(pairDemand, machine.free),
     Math.floor(freeTaskSlots(machine) / 2),
   );
-
-/**
- * Returns whether the job has tasks to place. Until recovery from an earlier owner is complete, jobs with tasks that
- * the earlier owner may have started are left out, since those tasks may still be running.
- */
-const hasPlaceableTasks = (job: JobState, recovered: boolean, now: number): boolean =>
-  (recovered || job.inheritedTasks.size === 0) && placeableTasks(job, now) > 0;
-
-/** Returns whether a task of the job is on a machine or has completed. */
-const hasStarted = (job: JobState): boolean =>
-  job.placements.size + job.savedCompletions.size + job.unsavedCompletions.size > 0;
-
-/** Returns the minimum of the demands of all jobs in the queue, resource by resource. */
-const minimumDemandOf = (queue: readonly JobState[]): Resources => {
-  const minimum = { ...queue[0]!.spec.demand };
-  for (const { spec } of queue) {
-    for (const kind of RESOURCE_KINDS) minimum[kind] = Math.min(minimum[kind], spec.demand[kind]);
-  }
-  return minimum;
-};
