--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -5,30 +5,27 @@
 import { planCapacity, type CapacityInput } from '../src/core/capacity/capacity-planner.js';
 import { WorkloadStatistics } from '../src/core/capacity/workload-statistics.js';
 import { isUrgent, wantedMachines } from '../src/core/capacity/wanted-machines.js';
-import { job, LEASE_MS, machine, machineType, shardWith, spec, Store } from './helpers.js';
+import {
+  capacityInput,
+  job,
+  LEASE_MS,
+  machine,
+  machineType,
+  shardWith,
+  spec,
+  Store,
+} from './helpers.js';
 import { FakeWorker, World } from './standins/worker.js';
 
-const capacityInput = (store: Store, over: Partial<CapacityInput> = {}): CapacityInput => ({
-  shard: shardWith(store),
-  shardCount: 1,
-  types: new Map([['m', machineType()]]),
-  zones: ['z', 'y'],
-  objectives: [
-    { kind: 'wait', jobClass: 'quick', withinS: 10, share: 0.9 },
-    { kind: 'finished', jobClass: 'c', withinS: 300, share: 0.9 },
-  ],
-  classStats: new Map(),
-  activeTasksElsewhere: new Map(),
-  expectedJobs: [],
-  pendingRentals: [],
-  inBackoff: () => false,
-  reserveSigma: 1,
-  drainS: 45,
-  idleKeepMs: 10_000,
-  maxMachines: 100,
-  now: 0,
-  ...over,
-});
+const storeInput = (store: Store, over: Partial<CapacityInput> = {}): CapacityInput =>
+  capacityInput(shardWith(store), 0, {
+    objectives: [
+      { kind: 'wait', jobClass: 'quick', withinS: 10, share: 0.9 },
+      { kind: 'finished', jobClass: 'c', withinS: 300, share: 0.9 },
+    ],
+    idleKeepMs: 10_000,
+    ...over,
+  });
 const plannedRentals = (input: CapacityInput) =>
   planCapacity(input)
     .rentals.map(({ count, spot, zone }) => `${count} ${spot ? 'spot' : 'ordinary'} ${zone}`)
@@ -38,47 +35,47 @@
   const longRun = { estimateS: 400 };
   const wholeMachine = { demand: { cpus: 8, gpus: 2, memoryGb: 8 } };
   const cases: [string, CapacityInput, string[]][] = [
-    ['no work', capacityInput(new Store()), []],
+    ['no work', storeInput(new Store()), []],
     // A second of work needs so small a share of a machine that none was rented, and its task never started.
     [
       'little work still needs a machine',
-      capacityInput(new Store().add(job({ estimateS: 1 }))),
+      storeInput(new Store().add(job({ estimateS: 1 }))),
       ['1 spot y'],
     ],
     [
       'work that justifies several machines: they are balanced over the zones',
-      capacityInput(new Store().add(job({ ...longRun, tasks: 8 }))),
+      storeInput(new Store().add(job({ ...longRun, tasks: 8 }))),
       ['2 spot y', '2 spot z'],
     ],
     [
       'work that may not use spot machines',
-      capacityInput(new Store().add(job({ ...longRun, tasks: 4, spot: false }))),
+      storeInput(new Store().add(job({ ...longRun, tasks: 4, spot: false }))),
       ['1 ordinary y', '1 ordinary z'],
     ],
     [
       'no spot capacity in one zone',
-      capacityInput(new Store().add(job({ ...longRun, tasks: 4 })), {
+      storeInput(new Store().add(job({ ...longRun, tasks: 4 })), {
         inBackoff: (_, zone, spot) => spot && zone === 'y',
       }),
       ['2 spot z'],
     ],
     [
       'no spot capacity in any zone: ordinary machines, as far as they are worth their price',
-      capacityInput(new Store().add(job({ ...longRun, tasks: 4 })), {
+      storeInput(new Store().add(job({ ...longRun, tasks: 4 })), {
         inBackoff: (_t, _z, spot) => spot,
       }),
       ['1 ordinary y', '1 ordinary z'],
     ],
     [
       'the rental is pending',
-      capacityInput(new Store().add(job({ ...longRun, tasks: 4 })), {
+      storeInput(new Store().add(job({ ...longRun, tasks: 4 })), {
         pendingRentals: [{ type: 'm', zone: 'z', spot: true, count: 2 }],
       }),
       [],
     ],
     [
       'a gang: machines for all of its tasks',
-      capacityInput(
+      storeInput(
         new Store().add(
           job({ kind: 'gang', tasks: 3, oneZone: true, ...wholeMachine, estimateS: 1 }),
         ),
@@ -87,14 +84,14 @@
     ],
     [
       'a job whose submitter was told to retry later',
-      capacityInput(new Store(), {
+      storeInput(new Store(), {
         expectedJobs: [spec({ ...longRun, ...wholeMachine, tasks: 3 })],
       }),
       ['1 spot z', '2 spot y'],
     ],
     [
       "the operator's limit",
-      capacityInput(new Store().add(job({ ...longRun, tasks: 50 })), { maxMachines: 1 }),
+      storeInput(new Store().add(job({ ...longRun, tasks: 50 })), { maxMachines: 1 }),
       ['1 spot y'],
     ],
   ];
@@ -107,16 +104,16 @@
   const stats = new Map([
     ['quick', { tasksPerS: 0.5, runS: 32, sample: spec({ jobClass: 'quick', spot: false }) }],
   ]);
-  const need = wantedMachines(capacityInput(new Store(), { classStats: stats })).get('m');
+  const need = wantedMachines(storeInput(new Store(), { classStats: stats })).get('m');
   // 16 tasks at once on average, 4 more as one standard deviation, 2 tasks to a machine.
   assert.equal(need?.ordinary, 10);
-  assert.equal(isUrgent('quick', capacityInput(new Store()).objectives, 50), true);
-  assert.equal(isUrgent('c', capacityInput(new Store()).objectives, 50), false);
+  assert.equal(isUrgent('quick', storeInput(new Store()).objectives, 50), true);
+  assert.equal(isUrgent('c', storeInput(new Store()).objectives, 50), false);
 });
 
 test('a plan returns machines that are idle, send no heartbeats or never came up, each after its time', () => {
   const store = new Store().add(machine('idle'), machine('lost'), machine('new', { up: false }));
-  const input = capacityInput(store);
+  const input = storeInput(store);
   for (const name of ['idle', 'lost']) {
     const worker = new FakeWorker(name, new World(), 1000, 18_000, 0);
     input.shard.handleHeartbeat(worker.heartbeat(), 0, true);
@@ -154,7 +151,7 @@
   store.add(...names.map((name) => machine(name, { up: false })));
   const shard = shardWith(store);
   const plan = (now: number, pendingRentals: CapacityInput['pendingRentals'] = []) =>
-    planCapacity(capacityInput(store, { shard, now, pendingRentals }));
+    planCapacity(storeInput(store, { shard, now, pendingRentals }));
   const rentedAt = (now: number) =>
     plan(now).rentals.reduce((sum, rental) => sum + rental.count, 0);
   for (const times of [0, 1, 1.5, 2]) {
--- a/test/failing-jobs.test.ts
+++ b/test/failing-jobs.test.ts
@@ -9,7 +9,7 @@
 import type { Shard } from '../src/core/shard/shard.js';
 import type { JobSpec, Heartbeat } from '../src/core/model.js';
 import { wantedMachines } from '../src/core/capacity/wanted-machines.js';
-import { job, machine, machineType, shardWith, Store } from './helpers.js';
+import { capacityInput, job, machine, shardWith, Store } from './helpers.js';
 
 const STEP_MS = 500;
 const RUN_MS = 30_000;
@@ -119,23 +119,13 @@
   }
 }
 
-const capacityInput = (fleet: Fleet): CapacityInput => ({
-  shard: fleet.shard,
-  shardCount: 1,
-  types: new Map([['m', machineType()]]),
-  zones: ['z'],
-  objectives: [],
-  classStats: new Map(),
-  activeTasksElsewhere: new Map(),
-  expectedJobs: [],
-  pendingRentals: [],
-  inBackoff: () => false,
-  reserveSigma: 0,
-  drainS: 45,
-  idleKeepMs: 1e9,
-  maxMachines: 1000,
-  now: fleet.now,
-});
+const fleetInput = ({ shard, now }: Fleet): CapacityInput =>
+  capacityInput(shard, now, {
+    zones: ['z'],
+    reserveSigma: 0,
+    idleKeepMs: 1e9,
+    maxMachines: 1000,
+  });
 
 test('faulty jobs cause no quarantine of healthy machines, and faulty machines are quarantined', () => {
   const cases: { name: string; faultyMachines: string[]; faultyJobCount: number }[] = [
@@ -195,7 +185,7 @@
   while (!allInBackoff() && fleet.now < 120_000);
   assert.ok(allInBackoff(), 'both jobs are in backoff at some time');
   assert.equal(fleet.shard.waitingTasks(0, fleet.now), 0);
-  const wanted = wantedMachines(capacityInput(fleet));
+  const wanted = wantedMachines(fleetInput(fleet));
   assert.deepEqual(wanted.get('m'), { ordinary: 0, spot: 0, instead: 0 });
 });
 
@@ -234,7 +224,7 @@
   const machineState = fleet.shard.machines.get('m000')!;
   const isQuarantined = () => machineState.faultStatus === 'quarantined';
   const isInService = () => machineState.lifecycle === 'in-service';
-  planCapacity(capacityInput(fleet));
+  planCapacity(fleetInput(fleet));
   assert.ok(isQuarantined() && !isInService(), 'two jobs failed on the only machine');
   for (let i = 1; i < 4; i++) fleet.store.add(machine(`m00${i}`));
   fleet.shard.sync(fleet.store, fleet.now);
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,6 +1,7 @@
 /** Factories for records, settings and shards that several tests share. */
 import { Authorization, fencingToken, FencingRejections } from '@sumacstep/leader-election';
 import pino from 'pino';
+import type { CapacityInput } from '../src/core/capacity/capacity-planner.js';
 import type { JobRecord, JobSpec, MachineRecord, MachineType, Team } from '../src/core/model.js';
 import { Shard, type ShardSettings } from '../src/core/shard/shard.js';
 import { OwnedShard } from '../src/shards/owned-shard.js';
@@ -106,6 +107,30 @@
   return shard;
 };
 
+/** Input of a capacity plan for a cluster of one shard, without objectives, statistics or pending rentals. */
+export const capacityInput = (
+  shard: Shard,
+  now: number,
+  overrides: Partial<CapacityInput> = {},
+): CapacityInput => ({
+  shard,
+  shardCount: 1,
+  types: new Map([['m', machineType()]]),
+  zones: ['z', 'y'],
+  objectives: [],
+  classStats: new Map(),
+  activeTasksElsewhere: new Map(),
+  expectedJobs: [],
+  pendingRentals: [],
+  inBackoff: () => false,
+  reserveSigma: 1,
+  drainS: 45,
+  idleKeepMs: 0,
+  maxMachines: 100,
+  now,
+  ...overrides,
+});
+
 /** A platform file with only the required settings, and one unknown field. */
 export const PLATFORM = `
 node = "n-0"
--- a/test/machine-faults.test.ts
+++ b/test/machine-faults.test.ts
@@ -1,10 +1,10 @@
 /** Tests of a shard whose machines lose heartbeats or commands, and of gangs and queues in their presence. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { planCapacity, type CapacityInput } from '../src/core/capacity/capacity-planner.js';
+import { planCapacity } from '../src/core/capacity/capacity-planner.js';
 import type { Command, Heartbeat } from '../src/core/model.js';
 import type { Shard } from '../src/core/shard/shard.js';
-import { job, LEASE_MS, machine, machineType, shardWith, settings, Store } from './helpers.js';
+import { capacityInput, job, LEASE_MS, machine, settings, shardWith, Store } from './helpers.js';
 import { CANCEL_MS, FakeWorker, World } from './standins/worker.js';
 
 const RUN_MS = 20_000;
@@ -12,23 +12,11 @@
 
 /** Returns the names of the machines that the shard would return to the cloud now. */
 const returns = (shard: Shard, now: number): string[] => {
-  const input: CapacityInput = {
-    shard,
-    shardCount: 1,
-    types: new Map([['m', machineType()]]),
+  const input = capacityInput(shard, now, {
     zones: ['z'],
-    objectives: [],
-    classStats: new Map(),
-    activeTasksElsewhere: new Map(),
-    expectedJobs: [],
-    pendingRentals: [],
     inBackoff: () => true,
-    reserveSigma: 1,
-    drainS: 45,
     idleKeepMs: 1e9,
-    maxMachines: 100,
-    now,
-  };
+  });
   return planCapacity(input).returns.map((returned) => returned.name);
 };
 
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { allocationRatios, loadIndex } from '../src/core/capacity/allocation-ratio.js';
-import { planCapacity, type CapacityInput } from '../src/core/capacity/capacity-planner.js';
+import { planCapacity } from '../src/core/capacity/capacity-planner.js';
 import { MAX_TASKS_PER_MACHINE } from '../src/core/constants.js';
 import type { Command, Heartbeat, JobSpec, ReportedTask } from '../src/core/model.js';
 import { MAX_COMMANDS_PER_MESSAGE } from '../src/core/shard/constants.js';
@@ -14,7 +14,7 @@
 import { MAX_BODY_BYTES } from '../src/transport/constants.js';
 import { MAX_TASKS_PER_JOB } from '../src/wire/constants.js';
 import { commandsBody, heartbeatResponseBody, heartbeatSchema } from '../src/wire/workers.js';
-import { job, LEASE_MS, machine, machineType, shardWith, Store } from './helpers.js';
+import { capacityInput, job, LEASE_MS, machine, shardWith, Store } from './helpers.js';
 import { assertDerivedState } from './standins/derived-state.js';
 import { FakeWorker, World } from './standins/worker.js';
 
@@ -179,26 +179,10 @@
   assert.ok(running.every(([task]) => task.startsWith('job-000002/')));
 });
 
-const planFor = (shard: Shard, now: number) => {
-  const input: CapacityInput = {
-    shard,
-    shardCount: 1,
-    types: new Map([['m', machineType()]]),
-    zones: ['y', 'z'],
-    objectives: [],
-    classStats: new Map(),
-    activeTasksElsewhere: new Map(),
-    expectedJobs: [],
-    pendingRentals: [],
-    inBackoff: () => false,
-    reserveSigma: 0,
-    drainS: 45,
-    idleKeepMs: 1000,
-    maxMachines: 10_000,
-    now,
-  };
-  return planCapacity(input);
-};
+const planFor = (shard: Shard, now: number) =>
+  planCapacity(
+    capacityInput(shard, now, { reserveSigma: 0, idleKeepMs: 1000, maxMachines: 10_000 }),
+  );
 
 test('machines are rented for the number of tasks where resources would allow more on one machine', () => {
   const demand = { cpus: 0.001, gpus: 0, memoryGb: 0.001 };
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -4,7 +4,7 @@
 import { planCapacity, type CapacityInput } from '../src/core/capacity/capacity-planner.js';
 import type { Shard } from '../src/core/shard/shard.js';
 import { REPLICA_STABLE_MS } from '../src/core/reachability/constants.js';
-import { job, LEASE_MS, machine, machineType, shardWith, settings, Store } from './helpers.js';
+import { capacityInput, job, LEASE_MS, machine, settings, shardWith, Store } from './helpers.js';
 import { FakeWorker, World } from './standins/worker.js';
 
 const FOREVER_MS = 1e12;
@@ -21,24 +21,7 @@
 const UID = 'job-000001';
 
 const plan = (shard: Shard, now: number, overrides: Partial<CapacityInput> = {}) =>
-  planCapacity({
-    shard,
-    shardCount: 1,
-    types: new Map([['m', machineType()]]),
-    zones: ['z', 'y'],
-    objectives: [],
-    classStats: new Map(),
-    activeTasksElsewhere: new Map(),
-    expectedJobs: [],
-    pendingRentals: [],
-    inBackoff: () => false,
-    reserveSigma: 1,
-    drainS: 45,
-    idleKeepMs: 0,
-    maxMachines: 100,
-    now,
-    ...overrides,
-  });
+  planCapacity(capacityInput(shard, now, overrides));
 
 /** Delivers a heartbeat of the worker to the shard; the worker carries out the commands in the answer. */
 const exchangeHeartbeat = (shard: Shard, worker: FakeWorker, now: number): void => {
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { planCapacity, type CapacityInput } from '../src/core/capacity/capacity-planner.js';
+import { planCapacity } from '../src/core/capacity/capacity-planner.js';
 import type { Shard } from '../src/core/shard/shard.js';
 import type { JobSpec } from '../src/core/model.js';
 import { unusedVolume } from '../src/core/placement/unused-volume.js';
@@ -16,7 +16,7 @@
 import { TaskSet } from '../src/core/jobs/task-set.js';
 import { jobProgressInShard } from '../src/peers/shard-directory.js';
 import type { Heartbeat, JobRecord, ReportedTask } from '../src/core/model.js';
-import { job, machine, machineType, shardWith, spec, Store } from './helpers.js';
+import { capacityInput, job, machine, shardWith, spec, Store } from './helpers.js';
 import { WorkCounter } from './standins/work-counter.js';
 
 /** numbers of machines */
@@ -163,23 +163,12 @@
       },
     });
   }
-  const input: CapacityInput = {
-    shard,
-    shardCount: 1,
-    types: new Map([['m', machineType()]]),
+  const input = capacityInput(shard, 5000, {
     zones: ['y', 'z'],
-    objectives: [],
-    classStats: new Map(),
-    activeTasksElsewhere: new Map(),
-    expectedJobs: [],
-    pendingRentals: [],
-    inBackoff: () => false,
     reserveSigma: 0,
-    drainS: 45,
     idleKeepMs: 1000,
     maxMachines: machines,
-    now: 5000,
-  };
+  });
   const { returns } = planCapacity(input);
   assert.ok(returns.length > machines - 10, `${returns.length} machines returned`);
   assert.ok(recordReads < 100 * machines, `${recordReads / machines} reads of each record`);
