Lost answers to direct starts leave most places of a machine free

Seen: in a new test only: after the answers to 500 direct starts were lost, 500 of 2,000 tasks completed and the machine never took another one. Cause: an attempt whose direct start may still arrive is never forgotten, so that it is not run again. Since the tasks of a machine are limited by the length of its list, such ended attempts keep their places for good. Change: at most 100 direct starts of a machine are without an outcome at a time; the others are sent with the answer to a heartbeat, whose outcome shows in the next one. The mark of unsent commands is one for starts and one for stops, so that a machine at this limit is not searched in each round. Why it works: at least 400 of 500 places stay in use until the agent epoch ends, and what is unknown about a late start is unchanged. Evidence: test/message-limits.test.ts, a machine stays of use after answers to many direct starts were lost: 500 of 2,000 without the limit, 2,000 with it, each started once.

--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -4,6 +4,7 @@
   FORGET_BATCH_LIMIT,
   FORGET_DELAY_MAX_MS,
   MAX_DIRECT_COMMANDS_PER_ROUND,
+  MAX_UNSETTLED_DIRECT_STARTS,
   STOP_OVERDUE_MARGIN_S,
 } from './constants.js';
 import { attemptKey, isUndispatched, placementKey, taskKey } from './placements.js';
@@ -95,7 +96,7 @@
     let commandCount = 0;
     for (const machine of this.state.machines.values()) {
       if (batches.length >= maxMachines || commandCount >= MAX_DIRECT_COMMANDS_PER_ROUND) break;
-      if (!machine.hasPendingCommands || machine.address === null) continue;
+      if (!hasUnsentCommands(machine, mayStart) || machine.address === null) continue;
       if (!this.state.health.isFresh(machine, now)) continue;
       const batch = directCommandsOf(machine, now, mayStart);
       if (batch.commands.length > 0) batches.push(batch);
@@ -110,31 +111,49 @@
       placement.machine.unsettledDirectStarts.delete(placementKey(placement));
       if (executed) continue;
       placement.directStartUnsettled = false;
-      placement.machine.hasPendingCommands = true;
+      placement.machine.hasUnsentStarts = true;
     }
   }
 }
 
-/** Adds the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
+/** Whether a direct command to the machine may carry a stop or, if `mayStart` is true, a start now. */
+const hasUnsentCommands = (machine: MachineState, mayStart: boolean): boolean =>
+  machine.hasUnsentStops || (mayStart && machine.hasUnsentStarts && mayStartDirectly(machine));
+
+const mayStartDirectly = ({ unsettledDirectStarts }: MachineState): boolean =>
+  unsettledDirectStarts.size < MAX_UNSETTLED_DIRECT_STARTS;
+
+/** Returns the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
 const directCommandsOf = (
   machine: MachineState,
   now: number,
   mayStart: boolean,
 ): DirectCommandBatch => {
   const message = new CommandMessage();
+  if (machine.hasUnsentStops) addUnsentStops(machine, now, message);
+  const starts = mayStart && machine.hasUnsentStarts ? addUnsentStarts(machine, message) : [];
+  return { machine, commands: message.commands, starts };
+};
+
+const addUnsentStops = (machine: MachineState, now: number, message: CommandMessage): void => {
   for (const placement of machine.tasks.values()) {
-    if (message.isFull) break;
+    if (message.isFull) return;
     if (placement.stop === null || placement.stop.sentDirectly) continue;
     placement.stop.sentDirectly = true;
     message.addAll([stopCommand(placement, remainingGraceS(placement, now))]);
   }
+  machine.hasUnsentStops = false;
+};
+
+/** Returns the placements whose starts were added. */
+const addUnsentStarts = (machine: MachineState, message: CommandMessage): Placement[] => {
   const starts: Placement[] = [];
-  let hasUnsentStarts = false;
+  let hasUnstartable = false;
   for (const placement of machine.tasks.values()) {
-    if (message.isFull) break;
+    if (message.isFull || !mayStartDirectly(machine)) return starts;
     if (!isUndispatched(placement)) continue;
-    if (!mayStart || !isStartable(placement)) {
-      hasUnsentStarts = true;
+    if (!isStartable(placement)) {
+      hasUnstartable = true;
       continue;
     }
     placement.directStartUnsettled = true;
@@ -142,8 +161,8 @@
     machine.unsettledDirectStarts.add(placementKey(placement));
     message.addAll([startCommand(placement)]);
   }
-  machine.hasPendingCommands = hasUnsentStarts || message.isFull;
-  return { machine, commands: message.commands, starts };
+  machine.hasUnsentStarts = hasUnstartable;
+  return starts;
 };
 
 /** Adds starts for placements that the worker has not listed yet, and marks them as sent with this answer. */
--- a/src/core/shard/constants.ts
+++ b/src/core/shard/constants.ts
@@ -41,3 +41,9 @@
  * lease. The rest follows in the next round or with the answers to heartbeats.
  */
 export const MAX_DIRECT_COMMANDS_PER_ROUND = 5000;
+
+/**
+ * Most direct starts of one machine whose outcome is unknown. Their attempts may never be forgotten, so they would fill
+ * the worker's task list if many answers were lost. Further starts wait for the answer to a heartbeat.
+ */
+export const MAX_UNSETTLED_DIRECT_STARTS = 100;
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -116,7 +116,7 @@
       if (placement.observed) this.state.release(placement, now);
       else if (source === 'heartbeat' && hasLostStart(placement, counter)) {
         placement.startSentCounter = null;
-        machine.hasPendingCommands = true;
+        machine.hasUnsentStarts = true;
         this.#recordLostCommand(machine, now);
         const unwanted = placement.stop !== null || placement.job.ended;
         if (!placement.directStartUnsettled && unwanted) this.state.release(placement, now);
--- a/src/core/shard/lease-expiry.ts
+++ b/src/core/shard/lease-expiry.ts
@@ -15,7 +15,7 @@
     if (machine.confirmedSince !== null && now - machine.leaseRenewedAt > leaseMs) {
       endLease(state, machine, now);
     }
-    if (machine.hasPendingCommands) releaseOverdueStarts(state, machine, now);
+    if (machine.hasUnsentStarts) releaseOverdueStarts(state, machine, now);
     if (machine.reservation !== null && now > machine.reservation.until) machine.reservation = null;
     if (machine.lifecycle === 'orphaned' && machine.tasks.size === 0) {
       state.removeMachine(machine.record.name, now);
--- a/src/core/shard/placement-index.ts
+++ b/src/core/shard/placement-index.ts
@@ -33,7 +33,7 @@
     this.#countRunning(placement, 1);
     machine.tasks.set(taskKey(uid, index), placement);
     changeCount(machine.tasksByJob, job, 1);
-    machine.hasPendingCommands = true;
+    machine.hasUnsentStarts = true;
     machine.usedCapacity.add(demand);
     updateFreeCapacity(machine);
     this.#usageOf(team).add(demand);
--- a/src/core/shard/shard-state.ts
+++ b/src/core/shard/shard-state.ts
@@ -217,7 +217,7 @@
     }
     if (placement.stop !== null && placement.stop.graceS <= graceS) return;
     placement.stop = { requestedAt: now, graceS, sentDirectly: false };
-    placement.machine.hasPendingCommands = true;
+    placement.machine.hasUnsentStops = true;
     this.recordEvent('stopping', placement, now, `grace ${graceS} s`);
   }
 
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -182,8 +182,10 @@
   readonly tasks: Map<string, Placement>;
   /** number of `tasks` by job; a job without any has no entry */
   readonly tasksByJob: Map<JobState, number>;
-  /** false if no start and no stop of `tasks` is to be sent by direct command */
-  hasPendingCommands: boolean;
+  /** false if no start of `tasks` is to be sent by direct command */
+  hasUnsentStarts: boolean;
+  /** false if no stop of `tasks` is to be sent by direct command */
+  hasUnsentStops: boolean;
   /** total demand of `tasks` */
   readonly usedCapacity: ResourceSum;
   /** capacity minus the demand of `tasks` */
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -70,6 +70,8 @@
   readonly shard: Shard;
   now = 0;
   largestMessage = 0;
+  /** until this time, in ms, workers execute direct commands but their answers are lost */
+  directAnswersLostUntil = 0;
 
   constructor(machines: number, specs: readonly Partial<JobSpec>[], runMs: number) {
     for (const spec of specs) this.store.add(job(spec));
@@ -100,6 +102,7 @@
       const body = commandsBody(this.shard.term, worker.agentEpoch, commands);
       const executed =
         this.#fits(body) && worker.executeDirect(this.shard.term, worker.agentEpoch, commands);
+      if (this.now < this.directAnswersLostUntil) continue;
       this.shard.settleDirectStarts(starts, executed);
       const status = worker.heartbeat();
       if (this.#fits(reportBody(status))) this.shard.handleCommandStatus(status, this.now);
@@ -159,6 +162,19 @@
   assert.ok(scene.world.starts > 2 * MAX_TASKS_PER_MACHINE, `${scene.world.starts} starts`);
 });
 
+// A worker may not forget an attempt whose direct start may still arrive, so the attempt keeps its place in the list.
+test('a machine stays of use after answers to many direct starts were lost', () => {
+  const demand = { cpus: 0.001, gpus: 0, memoryGb: 0.001 };
+  const scene = new SmallTaskScene(1, [], 2000);
+  for (let second = 0; second < 3; second++) scene.step(() => 0, 100);
+  scene.store.add(job({ tasks: 2000, demand, priority: 'low' }));
+  scene.shard.sync(scene.store, scene.now);
+  scene.directAnswersLostUntil = scene.now + 10_000;
+  for (let second = 0; second < 60; second++) scene.step(() => 0, 100);
+  assert.equal(scene.world.completed.get('job-000001')?.size, 2000);
+  assert.equal(scene.world.starts, 2000, 'each task begins once');
+});
+
 test('a cancelled job of small tasks is stopped whole, before anything else is commanded', () => {
   const demand = { cpus: 0.001, gpus: 0, memoryGb: 0.001 };
   const tiny = { demand, priority: 'low' as const, tasks: 400 };
--- a/test/standins/derived-state.ts
+++ b/test/standins/derived-state.ts
@@ -47,10 +47,10 @@
     gpus: gpus - used.gpus,
     memoryGb: memoryGb - used.memoryGb,
   });
-  const isPending = placements.some(
-    (placement) => isUndispatched(placement) || placement.stop?.sentDirectly === false,
-  );
-  assert.ok(machine.hasPendingCommands || !isPending, 'a command is to be sent');
+  const hasUnsentStarts = placements.some(isUndispatched);
+  assert.ok(machine.hasUnsentStarts || !hasUnsentStarts, 'a start is to be sent');
+  const hasUnsentStops = placements.some(({ stop }) => stop?.sentDirectly === false);
+  assert.ok(machine.hasUnsentStops || !hasUnsentStops, 'a stop is to be sent');
 };
 
 const assertJob = (job: JobState, machines: ReadonlyMap<string, MachineState>): void => {
