Failing tests: a late copy of an answered direct start runs its attempt again

Change: stand-in machines can deliver a copy of each executed direct message with a start, under the token and session of the original.

--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -35,6 +35,13 @@
   WindupS?: number;
 }
 
+/** Direct commands in their wire format. */
+interface WireCommands {
+  Mandate: number;
+  Tenure: number;
+  Orders: WireOrder[];
+}
+
 const parseOrder = (order: WireOrder) => {
   const [uid, index] = order.Piece.split('/') as [string, string];
   const task = { uid, index: Number(index), attempt: order.Try };
@@ -53,6 +60,12 @@
   losesCommands = false;
   /** ms by which direct commands are delayed before they are executed */
   commandDelayMs = 0;
+  /** ms after which a copy of each executed direct message with a start arrives; null: never */
+  commandCopyDelayMs: number | null = null;
+  /** number of such copies, those that are still under way included */
+  commandCopies = 0;
+  /** number of such copies that have arrived */
+  commandCopiesArrived = 0;
   /** the only node that heartbeats are sent to, while no direct command arrives; null: no restriction */
   onlyNode: string | null = null;
   /** a node that no heartbeat is sent to, while no direct command arrives; null: none */
@@ -80,17 +93,33 @@
     const partitioned = this.onlyNode !== null || this.unreachableNode !== null;
     if (this.losesCommands || this.worker.hung || partitioned) return 'hang';
     if (this.commandDelayMs > 0) await sleep(this.commandDelayMs);
-    const body = request.body as { Mandate: number; Tenure: number; Orders: WireOrder[] };
+    const body = request.body as WireCommands;
     this.worker.advance(Date.now());
     const executed = this.worker.executeDirect(
       body.Mandate,
       body.Tenure,
       body.Orders.map(parseOrder),
     );
+    if (executed && this.commandCopyDelayMs !== null) {
+      this.#scheduleCommandCopy(body, this.commandCopyDelayMs);
+    }
     this.#lastHeartbeatMs = 0;
     return { status: executed ? 200 : 409, body: heartbeatBody(this.worker.heartbeat()) };
   }
 
+  /** Delivers a direct message once more after `delayMs`, if it has a start. Nobody waits for the answer. */
+  #scheduleCommandCopy({ Mandate, Tenure, Orders }: WireCommands, delayMs: number): void {
+    if (!Orders.some(({ Verb }) => Verb === 'start')) return;
+    this.commandCopies += 1;
+    const timer = setTimeout(() => {
+      if (this.#stopped) return;
+      this.commandCopiesArrived += 1;
+      this.worker.advance(Date.now());
+      this.worker.executeDirect(Mandate, Tenure, Orders.map(parseOrder));
+    }, delayMs);
+    timer.unref();
+  }
+
   async #sendHeartbeat(nodes: readonly [string, string][]): Promise<void> {
     if (this.losesHeartbeats || this.worker.hung) {
       this.worker.advance(Date.now());
