--- a/src/core/ownership/constants.ts
+++ b/src/core/ownership/constants.ts
@@ -1,4 +1,4 @@
-/** Delays of the failover and failback of shards. */
+/** Delays of the failover and failback of shards, and the tokens that a change of owner reserves. */
 
 /** How long a shard without a live owner is left to its preferred node, then to each further candidate in turn. */
 export const FAILOVER_GRACE_MS = 1500;
@@ -15,3 +15,9 @@
  * `MAX_FAILBACK_DELAY_MS`.
  */
 export const FAILBACK_HOLD_MS = 45_000;
+
+/**
+ * Fencing tokens that a change of ownership reserves for the new owner: its term and those that follow. They last for
+ * hours, since a machine uses up at most one with each heartbeat.
+ */
+export const TOKENS_PER_TERM = 4096;
--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -4,21 +4,31 @@
   FORGET_BATCH_LIMIT,
   FORGET_DELAY_MAX_MS,
   MAX_DIRECT_COMMANDS_PER_ROUND,
-  MAX_UNSETTLED_DIRECT_STARTS,
   STOP_OVERDUE_MARGIN_S,
 } from './constants.js';
-import { attemptKey, isUndispatched, placementKey, taskKey } from './placements.js';
-import { CommandMessage } from './command-message.js';
+import { CommandMessage, type ForgettableTask } from './command-message.js';
+import { InertAttempt } from './inert-attempt.js';
+import { isUndispatched, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
+import type { DirectStart } from './start-fencing.js';
 import type { DirectCommandBatch, MachineState, Placement } from './types.js';
 
+/** The exited tasks of a worker's list that it need not list any more. */
+interface ForgetCandidates {
+  /** tasks that have not completed */
+  readonly ended: readonly ReportedTask[];
+  /** completed tasks; these may wait, since a completed task is never started again */
+  readonly completed: readonly ReportedTask[];
+}
+
 /** Computes the commands for heartbeat answers and for direct calls to workers. */
 export class CommandPlanner {
   constructor(private readonly state: ShardState) {}
 
   /**
    * Returns the commands of the answer to a heartbeat, at most `MAX_COMMANDS_PER_MESSAGE`, the most urgent first. What
-   * does not fit is sent with the next answer. If `mayStart` is false, no starts are among them.
+   * does not fit is sent with the next answer. If `mayStart` is false, no starts are among them. May raise the machine's
+   * fencing token, which the caller reads afterwards: the commands are safe only in an answer under that token.
    */
   answerHeartbeat(
     machine: MachineState,
@@ -26,31 +36,39 @@
     now: number,
     mayStart: boolean,
   ): Command[] {
-    const stops: Command[] = [];
-    const forgets: Command[] = [];
-    // Forgets of completed tasks may wait, since a completed task is never started again.
-    const completedForgets: Command[] = [];
-    for (const task of heartbeat.tasks) {
-      if (task.state !== 'exited') this.#stopUnwanted(machine, task, now, stops);
-      else if (this.#mayForget(machine, task)) {
-        const { uid, index, attempt, why } = task;
-        (why === 'done' ? completedForgets : forgets).push({ op: 'forget', uid, index, attempt });
-      }
-    }
     const message = new CommandMessage();
-    message.addAll(stops);
+    this.#addStops(machine, heartbeat, now, message);
     if (mayStart) endUnsettledStarts(machine, message);
-    message.addAll(forgets);
+    const { ended, completed } = this.#forgetCandidates(heartbeat);
+    message.addForgets(fence(machine, ended, now));
     if (mayStart) startUnlisted(machine, heartbeat.counter, message);
-    const { commands } = message;
-    if (this.#shouldSendForgets(machine, completedForgets, commands.length > 0, now)) {
-      message.addAll(completedForgets);
+    if (isForgetOfCompletedDue(machine, completed.length, message, now)) {
+      message.addForgets(fence(machine, completed, now));
     }
-    return commands;
+    if (machine.fencing.needsHigherToken) machine.fencing.raiseToken(now);
+    return message.commands;
+  }
+
+  #addStops(
+    machine: MachineState,
+    heartbeat: Heartbeat,
+    now: number,
+    message: CommandMessage,
+  ): void {
+    const stops: StopCommand[] = [];
+    for (const task of heartbeat.tasks) {
+      if (task.state !== 'exited') this.#stopUnwanted(machine, task, now, stops);
+    }
+    message.addAll(stops);
   }
 
   /** Stops a listed task that has no placement in this shard, or whose placement is to be stopped. */
-  #stopUnwanted(machine: MachineState, task: ReportedTask, now: number, stops: Command[]): void {
+  #stopUnwanted(
+    machine: MachineState,
+    task: ReportedTask,
+    now: number,
+    stops: StopCommand[],
+  ): void {
     const { uid, index, attempt } = task;
     const placement = machine.tasks.get(taskKey(uid, index));
     if (placement === undefined || placement.attempt !== attempt) {
@@ -60,34 +78,19 @@
     }
   }
 
-  /** Whether the worker may drop an ended task from its list. */
-  #mayForget(machine: MachineState, task: ReportedTask): boolean {
-    // A worker may forget a completion only once it is saved in the store.
-    const unsaved =
-      task.why === 'done' &&
-      this.state.jobs.get(task.uid)?.unsavedCompletions.has(task.index) === true;
-    // If a direct start that may still arrive found its attempt forgotten, the worker would run it again.
-    return !unsaved && !machine.unsettledDirectStarts.has(attemptKey(task));
+  #forgetCandidates(heartbeat: Heartbeat): ForgetCandidates {
+    const ended: ReportedTask[] = [];
+    const completed: ReportedTask[] = [];
+    for (const task of heartbeat.tasks) {
+      if (task.state !== 'exited' || this.#isUnsavedCompletion(task)) continue;
+      (task.why === 'done' ? completed : ended).push(task);
+    }
+    return { ended, completed };
   }
 
-  /**
-   * Whether this answer should tell the worker to forget completed tasks. A worker sends a heartbeat whenever its task
-   * list has changed, so a forget on its own costs an extra heartbeat: a quarter of all heartbeats at the fleet's size.
-   * Together with other commands it costs none. Updates `forgettableSince`.
-   */
-  #shouldSendForgets(
-    machine: MachineState,
-    forgets: readonly Command[],
-    withOtherCommands: boolean,
-    now: number,
-  ): boolean {
-    machine.forgettableSince = forgets.length === 0 ? null : (machine.forgettableSince ?? now);
-    if (machine.forgettableSince === null) return false;
-    // A machine moves to another shard only once its worker lists no tasks.
-    const immediate = withOtherCommands || machine.cordoned || forgets.length >= FORGET_BATCH_LIMIT;
-    const due = immediate || now - machine.forgettableSince >= FORGET_DELAY_MAX_MS;
-    if (due) machine.forgettableSince = null;
-    return due;
+  /** A worker may forget a completion only once it is saved in the store. */
+  #isUnsavedCompletion({ uid, index, why }: ReportedTask): boolean {
+    return why === 'done' && this.state.jobs.get(uid)?.unsavedCompletions.has(index) === true;
   }
 
   /** Returns the starts and stops to send without waiting for a heartbeat, for at most `maxMachines` machines. */
@@ -105,23 +108,62 @@
     return batches;
   }
 
-  /** Records that direct starts were executed, or that they never will be. */
-  settleDirectStarts(starts: readonly Placement[], executed: boolean): void {
-    for (const placement of starts) {
-      placement.machine.unsettledDirectStarts.delete(placementKey(placement));
-      if (executed) continue;
-      placement.directStartUnsettled = false;
-      placement.machine.hasUnsentStarts = true;
-    }
+  /** Records that direct starts to a machine were executed, or that they never will be. */
+  settleDirectStarts(
+    machine: MachineState,
+    starts: readonly DirectStart[],
+    executed: boolean,
+  ): void {
+    for (const start of starts) machine.fencing.settle(start, executed);
+    if (!executed && starts.length > 0) machine.hasUnsentStarts = true;
   }
 }
 
+/**
+ * Whether this answer should tell the worker to forget completed tasks. A worker sends a heartbeat whenever its task
+ * list has changed, so a forget on its own costs an extra heartbeat: a quarter of all heartbeats at the fleet's size.
+ * Together with other commands it costs none. Updates `forgettableSince`.
+ */
+const isForgetOfCompletedDue = (
+  machine: MachineState,
+  count: number,
+  { commands }: CommandMessage,
+  now: number,
+): boolean => {
+  machine.forgettableSince = count === 0 ? null : (machine.forgettableSince ?? now);
+  if (machine.forgettableSince === null) return false;
+  // A machine moves to another shard only once its worker lists no tasks.
+  const immediate = commands.length > 0 || machine.cordoned || count >= FORGET_BATCH_LIMIT;
+  const due = immediate || now - machine.forgettableSince >= FORGET_DELAY_MAX_MS;
+  if (due) machine.forgettableSince = null;
+  return due;
+};
+
+/**
+ * Returns the tasks that the worker may forget by the answer to its heartbeat. Raises the token of the answer if that is
+ * needed for some of them.
+ */
+const fence = (
+  machine: MachineState,
+  tasks: readonly ReportedTask[],
+  now: number,
+): ForgettableTask[] => {
+  const forgettable: ForgettableTask[] = [];
+  for (const task of tasks) {
+    if (InertAttempt.fenced(machine, task) === null) machine.fencing.raiseToken(now);
+    const evidence = InertAttempt.fenced(machine, task);
+    if (evidence !== null) forgettable.push({ task, evidence });
+  }
+  return forgettable;
+};
+
+type StopCommand = Extract<Command, { op: 'stop' }>;
+type StartCommand = Extract<Command, { op: 'start' }>;
+
 /** Whether a direct command to the machine may carry a stop or, if `mayStart` is true, a start now. */
 const hasUnsentCommands = (machine: MachineState, mayStart: boolean): boolean =>
-  machine.hasUnsentStops || (mayStart && machine.hasUnsentStarts && mayStartDirectly(machine));
-
-const mayStartDirectly = ({ unsettledDirectStarts }: MachineState): boolean =>
-  unsettledDirectStarts.size < MAX_UNSETTLED_DIRECT_STARTS;
+  machine.hasUnsentStops ||
+  (mayStart && machine.hasUnsentStarts && machine.fencing.mayStartDirectly);
 
 /** Returns the stops and starts of one machine that no direct command has carried yet, and marks them as sent. */
 const directCommandsOf = (
@@ -131,7 +173,7 @@
 ): DirectCommandBatch => {
   const message = new CommandMessage();
   if (machine.hasUnsentStops) addUnsentStops(machine, now, message);
-  const starts = mayStart && machine.hasUnsentStarts ? addUnsentStarts(machine, message) : [];
+  const starts = mayStart && machine.hasUnsentStarts ? addUnsentStarts(machine, now, message) : [];
   return { machine, commands: message.commands, starts };
 };
 
@@ -145,20 +187,24 @@
   machine.hasUnsentStops = false;
 };
 
-/** Returns the placements whose starts were added. */
-const addUnsentStarts = (machine: MachineState, message: CommandMessage): Placement[] => {
-  const starts: Placement[] = [];
+/** Returns the starts that were added. */
+const addUnsentStarts = (
+  machine: MachineState,
+  now: number,
+  message: CommandMessage,
+): DirectStart[] => {
+  const { fencing } = machine;
+  const starts: DirectStart[] = [];
   let hasUnstartable = false;
   for (const placement of machine.tasks.values()) {
-    if (message.isFull || !mayStartDirectly(machine)) return starts;
+    if (message.isFull || !fencing.mayStartDirectly) return starts;
     if (!isUndispatched(placement)) continue;
     if (!isStartable(placement)) {
       hasUnstartable = true;
       continue;
     }
-    placement.directStartUnsettled = true;
-    starts.push(placement);
-    machine.unsettledDirectStarts.add(placementKey(placement));
+    placement.directStart = fencing.recordStart(placementKey(placement), now);
+    starts.push(placement.directStart);
     message.addAll([startCommand(placement)]);
   }
   machine.hasUnsentStarts = hasUnstartable;
@@ -181,20 +227,21 @@
  */
 const endUnsettledStarts = (machine: MachineState, message: CommandMessage): void => {
   for (const placement of machine.tasks.values()) {
-    const { observed, directStartUnsettled, stop } = placement;
-    if (observed || !directStartUnsettled || stop === null) continue;
+    const { observed, directStart, stop } = placement;
+    if (observed || stop === null) continue;
+    if (directStart === null || directStart.state === 'void') continue;
     message.addTogether([startCommand(placement), stopCommand(placement, 0)]);
   }
 };
 
-const startCommand = ({ job, index, attempt }: Placement): Command => ({
+const startCommand = ({ job, index, attempt }: Placement): StartCommand => ({
   op: 'start',
   uid: job.spec.uid,
   index,
   attempt,
 });
 
-const stopCommand = ({ job, index, attempt }: Placement, graceS: number): Command => ({
+const stopCommand = ({ job, index, attempt }: Placement, graceS: number): StopCommand => ({
   op: 'stop',
   uid: job.spec.uid,
   index,
--- a/src/core/shard/constants.ts
+++ b/src/core/shard/constants.ts
@@ -43,7 +43,10 @@
 export const MAX_DIRECT_COMMANDS_PER_ROUND = 5000;
 
 /**
- * Most direct starts of one machine whose outcome is unknown. Their attempts may never be forgotten, so they would fill
+ * Most direct starts of one machine whose outcome is unknown. Their attempts may not be forgotten, so they would fill
  * the worker's task list if many answers were lost. Further starts wait for the answer to a heartbeat.
  */
 export const MAX_UNSETTLED_DIRECT_STARTS = 100;
+
+/** A direct start without an outcome for this long has no answer; longer than a direct command waits for one. */
+export const DIRECT_START_OUTCOME_TIMEOUT_MS = 2000;
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -2,7 +2,8 @@
 import type { Heartbeat, JobSpec, ReportedTask } from '../model.js';
 import { FailureTracker } from '../reachability/failure-tracker.js';
 import { LOST_COMMANDS_LIMIT, NO_ROOM_BACKOFF_MS } from './constants.js';
-import { attemptKey, isUndispatched, placementKey, taskKey } from './placements.js';
+import { InertAttempt } from './inert-attempt.js';
+import { attemptKey, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
 import type { JobState, MachineState, Placement } from './types.js';
 
@@ -18,8 +19,8 @@
   }
 
   /**
-   * Reconciles one machine with its newest task list. Only a list under this shard's term is complete: a task that is
-   * missing from a list under an earlier term may still be started by an earlier owner's command.
+   * Reconciles one machine with its newest task list. Only a list under a token of this shard's term is complete: a
+   * task that is missing from a list under an earlier term may still be started by an earlier owner's command.
    */
   reconcile(
     machine: MachineState,
@@ -27,12 +28,14 @@
     now: number,
     source: StatusSource = 'heartbeat',
   ): void {
-    if (heartbeat.agentEpoch > machine.agentEpoch && machine.agentEpoch > 0) {
-      this.#endAgentEpoch(machine, now);
-    }
+    const epochEnded = InertAttempt.epochEnded(machine, heartbeat);
+    if (epochEnded !== null) this.#endAgentEpoch(machine, now, epochEnded);
     recordStatus(machine, heartbeat, now);
-    const complete = heartbeat.fencingToken === this.state.term;
-    if (complete) confirmTerm(machine, now);
+    const complete = heartbeat.fencingToken >= this.state.term;
+    if (complete) {
+      confirmTerm(machine, now);
+      this.#confirmToken(machine, heartbeat.fencingToken);
+    }
     if (source === 'command') recordCommandArrived(machine);
     const listed = this.#reconcileListed(machine, heartbeat.tasks, now, complete);
     if (!complete) return;
@@ -41,14 +44,23 @@
   }
 
   /** Releases all tasks of the machine: its worker's lease expired, so the worker killed them. */
-  #endAgentEpoch(machine: MachineState, now: number): void {
+  #endAgentEpoch(machine: MachineState, now: number, evidence: InertAttempt<'epoch-ended'>): void {
     const { leaseMs } = this.state.settings;
     // If the lease expired although this shard answered all heartbeats, the answers do not arrive.
     const { confirmedSince } = machine;
     const answered = confirmedSince !== null && now - machine.leaseRenewedAt < leaseMs / 2;
     if (answered && now - confirmedSince > leaseMs) this.#recordLostCommand(machine, now);
-    for (const placement of [...machine.tasks.values()]) this.state.release(placement, now);
-    machine.unsettledDirectStarts.clear();
+    for (const placement of [...machine.tasks.values()]) {
+      this.state.release(placement, now, evidence);
+    }
+    machine.fencing.endAgentEpoch();
+  }
+
+  /** Records the highest token that the worker has seen. Starts that it thereby refuses may have to be sent again. */
+  #confirmToken(machine: MachineState, token: number): void {
+    const hadUnsettledStarts = machine.fencing.hasUnsettledStarts;
+    machine.fencing.confirmToken(token);
+    if (hadUnsettledStarts) machine.hasUnsentStarts = true;
   }
 
   /** Reconciles the listed tasks, and returns the keys of their attempts. */
@@ -84,6 +96,7 @@
       return true;
     }
     if (placement === undefined) {
+      if (complete) this.#recordIfUnexpected(machine, task);
       if (!complete || job === undefined || !isAdoptable(machine, job, task)) {
         return false;
       }
@@ -103,6 +116,20 @@
     return true;
   }
 
+  /** Records a running attempt that ended before, when its worker lists it for the first time. */
+  #recordIfUnexpected(machine: MachineState, { uid, index, attempt }: ReportedTask): void {
+    if (machine.unknownTasksSince !== null || !this.state.isOwnAttempt(attempt)) return;
+    const { agentEpoch, fencing, record } = machine;
+    this.state.unexpectedAttempts.push({
+      uid,
+      index,
+      attempt,
+      machine: record.name,
+      agentEpoch,
+      fencingToken: fencing.token,
+    });
+  }
+
   /** Handles placements that are missing from a complete list: they have ended, or their start was lost. */
   #reconcileUnlisted(
     machine: MachineState,
@@ -113,14 +140,19 @@
   ): void {
     for (const placement of [...machine.tasks.values()]) {
       if (listed.has(placementKey(placement))) continue;
-      if (placement.observed) this.state.release(placement, now);
-      else if (source === 'heartbeat' && hasLostStart(placement, counter)) {
+      if (placement.observed) {
+        const evidence = InertAttempt.unlisted(placement);
+        if (evidence === null) machine.fencing.requestHigherToken();
+        else this.state.release(placement, now, evidence);
+        continue;
+      }
+      if (source === 'heartbeat' && hasLostStart(placement, counter)) {
         placement.startSentCounter = null;
         machine.hasUnsentStarts = true;
         this.#recordLostCommand(machine, now);
-        const unwanted = placement.stop !== null || placement.job.ended;
-        if (!placement.directStartUnsettled && unwanted) this.state.release(placement, now);
       }
+      const unwanted = placement.stop !== null || placement.job.ended;
+      if (unwanted) this.state.releaseIfNotSent(placement, now);
     }
   }
 
@@ -131,7 +163,7 @@
     machine.commandsLostSince ??= now;
     // Nothing more is started on this machine, so tasks whose start was never sent are placed elsewhere.
     for (const placement of [...machine.tasks.values()]) {
-      if (isUndispatched(placement)) this.state.release(placement, now);
+      this.state.releaseIfNotSent(placement, now);
     }
   }
 
@@ -147,10 +179,11 @@
     if (job !== undefined && task.why === 'done' && isCompletable(job, task.index)) {
       this.#recordCompletion(machine, job, placement, task.index, now);
     }
-    if (placement === undefined) return;
+    const evidence = InertAttempt.listed(task);
+    if (placement === undefined || evidence === null) return;
     if (job !== undefined) this.#recordFailure(machine, job, task, now);
     if (task.why === 'no_room') machine.backoffUntil = now + NO_ROOM_BACKOFF_MS;
-    this.state.release(placement, now, task.saved ? 'saved' : (task.why ?? 'gone'));
+    this.state.release(placement, now, evidence, task.saved ? 'saved' : (task.why ?? 'gone'));
   }
 
   #recordCompletion(
@@ -192,7 +225,7 @@
       } else if (placement.stop === null && checkpointS > 0) {
         this.state.requestStop(placement, saveS + 1, now);
       }
-      if (isUndispatched(placement)) this.state.release(placement, now);
+      this.state.releaseIfNotSent(placement, now);
     }
   }
 }
--- a/src/core/shard/lease-expiry.ts
+++ b/src/core/shard/lease-expiry.ts
@@ -1,7 +1,7 @@
 /** Timeouts of a shard: leases, unsent starts and reservations. */
 import { MAX_RELATIVE_CLOCK_DRIFT } from '../../constants.js';
 import { UNDISPATCHED_START_TIMEOUT_MS, WORKER_LEASE_MARGIN_MS } from './constants.js';
-import { isUndispatched } from './placements.js';
+import { InertAttempt } from './inert-attempt.js';
 import type { ShardState } from './shard-state.js';
 import type { MachineState } from './types.js';
 
@@ -12,9 +12,8 @@
 export const expireLeases = (state: ShardState, now: number): void => {
   const leaseMs = state.settings.leaseMs * (1 + MAX_RELATIVE_CLOCK_DRIFT) + WORKER_LEASE_MARGIN_MS;
   for (const machine of state.machines.values()) {
-    if (machine.confirmedSince !== null && now - machine.leaseRenewedAt > leaseMs) {
-      endLease(state, machine, now);
-    }
+    const expired = InertAttempt.leaseExpired(machine, now, leaseMs);
+    if (expired !== null) endLease(state, machine, now, expired);
     if (machine.hasUnsentStarts) releaseOverdueStarts(state, machine, now);
     if (machine.reservation !== null && now > machine.reservation.until) machine.reservation = null;
     if (machine.lifecycle === 'orphaned' && machine.tasks.size === 0) {
@@ -27,7 +26,7 @@
 const releaseOverdueStarts = (state: ShardState, machine: MachineState, now: number): void => {
   for (const placement of [...machine.tasks.values()]) {
     const overdue = now - placement.placedAt > UNDISPATCHED_START_TIMEOUT_MS;
-    if (overdue && isUndispatched(placement)) state.release(placement, now);
+    if (overdue) state.releaseIfNotSent(placement, now);
   }
 };
 
@@ -35,8 +34,13 @@
  * Releases all tasks of a machine whose lease has expired. Under this shard's term only this shard's answers renew the
  * lease, and the last one is too old, so the worker has killed its tasks, whether or not it is reachable.
  */
-const endLease = (state: ShardState, machine: MachineState, now: number): void => {
+const endLease = (
+  state: ShardState,
+  machine: MachineState,
+  now: number,
+  evidence: InertAttempt<'lease-expired'>,
+): void => {
   machine.confirmedSince = null;
   machine.minimumAgentEpoch = machine.agentEpoch + 1;
-  for (const placement of [...machine.tasks.values()]) state.release(placement, now);
+  for (const placement of [...machine.tasks.values()]) state.release(placement, now, evidence);
 };
--- a/src/core/shard/placements.ts
+++ b/src/core/shard/placements.ts
@@ -13,8 +13,8 @@
   `${job.spec.uid}/${index}@${attempt}`;
 
 /** Whether no start has been sent that could still take effect, so that the placement can be released at once. */
-export const isUndispatched = (placement: Placement): boolean =>
-  !placement.observed && !placement.directStartUnsettled && placement.startSentCounter === null;
+export const isUndispatched = ({ observed, directStart, startSentCounter }: Placement): boolean =>
+  !observed && startSentCounter === null && (directStart === null || directStart.state === 'void');
 
 /** Whether the machine's worker has listed a service replica that is placed there. */
 export const hostsServiceReplicas = (machine: MachineState): boolean => {
--- a/src/core/shard/shard-queries.ts
+++ b/src/core/shard/shard-queries.ts
@@ -65,6 +65,12 @@
     (machine) => machine.confirmedSince !== null && !machine.record.up && !machine.terminating,
   );
 
+/** Whether some machine has used up the fencing tokens of this term, so that it gets no direct starts any more. */
+export const hasExhaustedTokens = (state: ShardState): boolean => {
+  for (const { fencing } of state.machines.values()) if (fencing.isExhausted) return true;
+  return false;
+};
+
 /** Returns the machines that should be asked for their task list by direct command. */
 export const machinesToProbe = (state: ShardState): MachineState[] =>
   [...state.machines.values()].filter((machine) => state.health.needsProbe(machine));
--- a/src/core/shard/shard-state.ts
+++ b/src/core/shard/shard-state.ts
@@ -6,7 +6,8 @@
 import { MachineHealth } from '../reachability/machine-health.js';
 import { ATTEMPTS_PER_TERM } from './constants.js';
 import { PlacementIndex } from './placement-index.js';
-import { isUndispatched } from './placements.js';
+import { InertAttempt } from './inert-attempt.js';
+import type { TokenRange } from './start-fencing.js';
 import type {
   FinishedRun,
   JobState,
@@ -14,15 +15,19 @@
   Placement,
   ShardSettings,
   TaskEvent,
+  UnexpectedAttempt,
   WorkCounters,
 } from './types.js';
 
 /** The jobs, machines and placements of one shard under one term. */
 export class ShardState {
+  readonly term: number;
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
   /** task events that have not been logged yet */
   readonly events: TaskEvent[] = [];
+  /** attempts that ended and run again, which have not been logged yet */
+  readonly unexpectedAttempts: UnexpectedAttempt[] = [];
   /** run times of completed tasks that have not been added to the estimates yet */
   readonly finishedRuns: FinishedRun[] = [];
   /** machines that are proven gone, but whose record may not be deleted yet */
@@ -40,10 +45,12 @@
 
   constructor(
     readonly index: number,
-    readonly term: number,
+    /** the fencing tokens of this shard's messages to workers; the first is its term */
+    readonly tokens: TokenRange,
     readonly settings: ShardSettings,
   ) {
-    this.health = new MachineHealth(term, settings);
+    this.term = tokens.first;
+    this.health = new MachineHealth(this.term, settings);
     this.largestCapacity = largestCapacity(settings.types.values());
   }
 
@@ -78,6 +85,11 @@
     return this.term * ATTEMPTS_PER_TERM + this.#attemptCount;
   }
 
+  /** Whether the attempt number was given out by this shard under this term. */
+  isOwnAttempt(attempt: number): boolean {
+    return Math.floor(attempt / ATTEMPTS_PER_TERM) === this.term;
+  }
+
   /** Places a waiting task on a machine. `CommandPlanner` sends the start. */
   place(
     job: JobState,
@@ -122,7 +134,7 @@
       placedAt: now,
       startSentCounter: null,
       observed: false,
-      directStartUnsettled: false,
+      directStart: null,
       runningSince: null,
       stop: null,
     };
@@ -163,11 +175,23 @@
     return this.#machinesWithUnknownTasks.size > 0;
   }
 
+  /** Removes a placement if no start of it was sent that could still take effect. Returns whether it did. */
+  releaseIfNotSent(placement: Placement, now: number): boolean {
+    const evidence = InertAttempt.notSent(placement);
+    if (evidence !== null) this.release(placement, now, evidence);
+    return evidence !== null;
+  }
+
   /**
-   * Removes a placement whose task is proven gone, or whose start was never sent. The task waits again unless it is
-   * completed or its job has ended. A gang that loses a task is stopped as a whole.
+   * Removes a placement whose attempt can't begin or go on any more, as `evidence` shows. The task waits again unless
+   * it is completed or its job has ended. A gang that loses a task is stopped as a whole.
    */
-  release(placement: Placement, now: number, reason = 'gone'): void {
+  release(
+    placement: Placement,
+    now: number,
+    evidence: InertAttempt,
+    reason: string = evidence.reason,
+  ): void {
     const { job, index, machine } = placement;
     // Stopping one task of a gang may release other tasks of it that the caller is about to stop or release, too. A
     // task that is released twice would be queued twice, and start on two machines.
@@ -211,10 +235,7 @@
   }
 
   #stop(placement: Placement, graceS: number, now: number): void {
-    if (isUndispatched(placement)) {
-      this.release(placement, now);
-      return;
-    }
+    if (this.releaseIfNotSent(placement, now)) return;
     if (placement.stop !== null && placement.stop.graceS <= graceS) return;
     placement.stop = { requestedAt: now, graceS, sentDirectly: false };
     placement.machine.hasUnsentStops = true;
@@ -245,7 +266,8 @@
     const machine = this.machines.get(name);
     if (machine === undefined) return;
     this.terminatedMachines.add(name);
-    for (const placement of [...machine.tasks.values()]) this.release(placement, now);
+    const evidence = InertAttempt.machineGone();
+    for (const placement of [...machine.tasks.values()]) this.release(placement, now, evidence);
     this.machines.delete(name);
     this.#machinesWithUnknownTasks.delete(machine);
   }
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -13,6 +13,7 @@
 import { beginMigration, endMigration, migratableTasks } from './range-migration.js';
 import * as queries from './shard-queries.js';
 import { ShardState } from './shard-state.js';
+import type { DirectStart, TokenRange } from './start-fencing.js';
 import { StoreSynchronizer } from './store-synchronizer.js';
 import type {
   ChangedRecords,
@@ -27,6 +28,7 @@
   ShardSettings,
   StoredRecords,
   TaskEvent,
+  UnexpectedAttempt,
 } from './types.js';
 
 export { isLeaving } from '../reachability/machine-health.js';
@@ -36,14 +38,14 @@
 /**
  * The outcome of handling a heartbeat.
  *
- * - `answer`: the caller answers with these commands, which renews the worker's lease;
+ * - `answer`: the caller answers with these commands under this token, which renews the worker's lease;
  * - `superseded`: the worker has seen a higher term, so this shard has another owner;
  * - `old`: ignored, since a newer heartbeat has been handled;
  * - `unanswered`: handled, but not to be answered, so that the worker's lease is not renewed;
  * - `unknown`: the machine does not belong to this shard.
  */
 export type HeartbeatResult =
-  | { readonly kind: 'answer'; readonly commands: Command[] }
+  | { readonly kind: 'answer'; readonly fencingToken: number; readonly commands: Command[] }
   | { readonly kind: 'superseded' }
   | { readonly kind: 'old' }
   | { readonly kind: 'unanswered' }
@@ -51,6 +53,7 @@
 
 /** The scheduling of one shard's jobs on its machines, under one term. */
 export class Shard {
+  readonly term: number;
   readonly state: ShardState;
   readonly #synchronizer: StoreSynchronizer;
   readonly #reconciler: HeartbeatReconciler;
@@ -59,10 +62,12 @@
 
   constructor(
     readonly index: number,
-    readonly term: number,
+    /** reserved for the shard by the change of ownership that made it this node's; the first one is its term */
+    readonly tokens: TokenRange,
     settings: ShardSettings,
   ) {
-    this.state = new ShardState(index, term, settings);
+    this.term = tokens.first;
+    this.state = new ShardState(index, tokens, settings);
     const quotas = new Quotas(this.state);
     this.#synchronizer = new StoreSynchronizer(this.state);
     this.#reconciler = new HeartbeatReconciler(this.state);
@@ -115,7 +120,7 @@
   ): HeartbeatResult {
     const machine = this.state.machines.get(heartbeat.machine);
     if (machine === undefined) return { kind: 'unknown' };
-    if (heartbeat.fencingToken > this.state.term) return { kind: 'superseded' };
+    if (heartbeat.fencingToken > this.tokens.last) return { kind: 'superseded' };
     if (isOutdated(machine, heartbeat)) return { kind: 'old' };
     machine.lastHeartbeatCounter = heartbeat.counter;
     machine.lastHeartbeatAt = now;
@@ -124,26 +129,26 @@
       // lease, and an answer without commands does no harm.
       if (!mayRenew) return { kind: 'unanswered' };
       machine.leaseRenewedAt = now;
-      return { kind: 'answer', commands: [] };
+      return { kind: 'answer', fencingToken: machine.fencing.token, commands: [] };
     }
     this.#reconciler.reconcile(machine, heartbeat, now);
     if (!mayRenew && mayHaveLiveTasks(machine, heartbeat)) return { kind: 'unanswered' };
     machine.leaseRenewedAt = now;
-    if (heartbeat.fencingToken !== this.state.term) {
+    if (heartbeat.fencingToken < this.state.term) {
       // Commands of an earlier term may still reach this worker, so its task list is not complete yet. This answer
       // raises the worker's fencing token, and the list in its next heartbeat is complete.
-      return { kind: 'answer', commands: [] };
+      return { kind: 'answer', fencingToken: machine.fencing.token, commands: [] };
     }
     // Tasks placed on capacity that this heartbeat shows as free are started by the answer to it.
     if (mayStart) this.#scheduler.placeOn(machine, now);
     const commands = this.#commands.answerHeartbeat(machine, heartbeat, now, mayStart);
-    return { kind: 'answer', commands };
+    return { kind: 'answer', fencingToken: machine.fencing.token, commands };
   }
 
   /** Applies a task list that came as the answer to direct commands. This renews no lease. */
   handleCommandStatus(heartbeat: Heartbeat, now: number): void {
     const machine = this.state.machines.get(heartbeat.machine);
-    if (machine === undefined || heartbeat.fencingToken > this.state.term) return;
+    if (machine === undefined || heartbeat.fencingToken > this.tokens.last) return;
     if (heartbeat.agentEpoch < machine.minimumAgentEpoch) return;
     if (isNewerStatus(machine, heartbeat)) {
       this.#reconciler.reconcile(machine, heartbeat, now, 'command');
@@ -158,9 +163,18 @@
     return this.#commands.directCommands(now, maxMachines, mayStart);
   }
 
-  /** Records that direct starts were executed, or that they never will be. */
-  settleDirectStarts(starts: readonly Placement[], executed: boolean): void {
-    this.#commands.settleDirectStarts(starts, executed);
+  /** Records that direct starts to a machine were executed, or that they never will be. */
+  settleDirectStarts(
+    machine: MachineState,
+    starts: readonly DirectStart[],
+    executed: boolean,
+  ): void {
+    this.#commands.settleDirectStarts(machine, starts, executed);
+  }
+
+  /** Whether a machine has used up the tokens of this term, so that the shard should be acquired under a new one. */
+  get needsNewTerm(): boolean {
+    return queries.hasExhaustedTokens(this.state);
   }
 
   /** Stops a task, which has `graceS` to save its progress. With a grace period the whole gang of a task is stopped. */
@@ -222,6 +236,11 @@
     return this.state.events;
   }
 
+  /** Attempts that ended and run again; the caller removes those that it has logged. */
+  get unexpectedAttempts(): UnexpectedAttempt[] {
+    return this.state.unexpectedAttempts;
+  }
+
   /** Run times of completed tasks; the caller removes those that it has added to its estimates. */
   get finishedRuns(): FinishedRun[] {
     return this.state.finishedRuns;
@@ -314,6 +333,6 @@
  * there could run for too long.
  */
 const mayHaveLiveTasks = (machine: MachineState, { tasks }: Heartbeat): boolean =>
-  machine.tasks.size + machine.unsettledDirectStarts.size > 0 || tasks.some(isLive);
+  machine.tasks.size > 0 || machine.fencing.hasUnsettledStarts || tasks.some(isLive);
 
 const isLive = ({ state }: ReportedTask): boolean => state !== 'exited';
--- a/src/core/shard/store-synchronizer.ts
+++ b/src/core/shard/store-synchronizer.ts
@@ -14,6 +14,7 @@
 import { dominantResource } from '../placement/pairing.js';
 import { ResourceSum } from '../resource-sum.js';
 import type { ShardState } from './shard-state.js';
+import { StartFencing } from './start-fencing.js';
 import type { ChangedRecords, JobState, MachineState, StoredRecords } from './types.js';
 
 /** Adds, updates and removes the jobs and machines of a shard according to the records of the store. */
@@ -111,7 +112,7 @@
       unknownTaskCount: 0,
       unknownTasksSince: null,
       forgettableSince: null,
-      unsettledDirectStarts: new Set(),
+      fencing: new StartFencing(this.state.tokens),
       images: new Map(settings.imagesOf(record.name)),
       faultStatus: 'healthy',
       failedJobs: new Map(),
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -16,6 +16,7 @@
 } from '../model.js';
 import type { TaskQueue } from '../jobs/task-queue.js';
 import type { ResourceSum } from '../resource-sum.js';
+import type { DirectStart, StartFencing } from './start-fencing.js';
 
 /** Task numbers of one job, iterated in ascending order. */
 export interface TaskNumbers extends Iterable<number> {
@@ -38,7 +39,7 @@
 export type PlacementState = 'placed' | Exclude<TaskState, 'exited'>;
 
 /**
- * A task on a machine, from the decision to start it until it is proven gone. `observed`, `directStartUnsettled` and
+ * A task on a machine, from the decision to start it until it is proven gone. `observed`, `directStart` and
  * `startSentCounter` show how far the start has come. They do not exclude each other, since a start may be in flight
  * in a direct command and in a heartbeat answer at the same time. See `isUndispatched`.
  */
@@ -56,8 +57,8 @@
   startSentCounter: number | null;
   /** whether the worker has listed this attempt */
   observed: boolean;
-  /** whether a start sent by direct command may still be executed, at any time until the agent epoch ends */
-  directStartUnsettled: boolean;
+  /** the last start of it that was sent by direct command; null if none was */
+  directStart: DirectStart | null;
   runningSince: number | null;
   stop: StopRequest | null;
 }
@@ -203,11 +204,8 @@
   unknownTasksSince: number | null;
   /** time since which the worker has listed completed tasks that it may forget; null if it has none or was told to */
   forgettableSince: number | null;
-  /**
-   * attempts, by `attemptKey`, whose direct start may still arrive; if the worker forgot such an attempt, it could run
-   * it again
-   */
-  readonly unsettledDirectStarts: Set<string>;
+  /** the machine's fencing token, and the direct starts of which the worker may still execute a copy */
+  readonly fencing: StartFencing;
   /** images in the worker's cache with their sizes in GB, ordered from the least to the most recently used */
   readonly images: Map<string, number>;
 }
@@ -291,6 +289,17 @@
   readonly detail?: string;
 }
 
+/** A task that a worker has, although its attempt, one of this term, has ended for this shard. */
+export interface UnexpectedAttempt {
+  readonly uid: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: string;
+  readonly agentEpoch: number;
+  /** the machine's fencing token when its worker listed the attempt */
+  readonly fencingToken: number;
+}
+
 /** The run time of a completed task, for the run time estimates of its class. */
 export interface FinishedRun {
   readonly jobClass: string;
@@ -319,6 +328,6 @@
 export interface DirectCommandBatch {
   readonly machine: MachineState;
   readonly commands: Command[];
-  /** the placements whose starts are among the commands */
-  readonly starts: Placement[];
+  /** the starts among the commands */
+  readonly starts: readonly DirectStart[];
 }
--- a/src/rebalancing/move-candidates.ts
+++ b/src/rebalancing/move-candidates.ts
@@ -28,7 +28,7 @@
   const empty =
     machine.tasks.size === 0 &&
     machine.unknownTaskCount === 0 &&
-    machine.unsettledDirectStarts.size === 0 &&
+    !machine.fencing.hasExecutableStarts &&
     machine.reportedTaskCount === 0;
   return {
     name,
--- a/src/service/control-loops.ts
+++ b/src/service/control-loops.ts
@@ -145,6 +145,10 @@
   #drainTaskEvents(): void {
     const { context, shardController, workload } = this.dependencies;
     for (const [index, { shard }] of shardController.owned) {
+      for (const { uid, ...attempt } of shard.unexpectedAttempts.splice(0)) {
+        const fields = { job: uid, shard: index, term: shard.term, ...attempt };
+        context.log.error(fields, 'ended attempt runs again');
+      }
       for (const run of shard.finishedRuns.splice(0)) workload.recordRun(run.jobClass, run.runS);
       const events = shard.events.splice(0);
       // A pass may place as many tasks as the largest job has.
--- a/src/service/service.ts
+++ b/src/service/service.ts
@@ -239,6 +239,7 @@
       activeJobs: this.#store.cache.tables.activeJobs.size,
       storeAvailable: this.#store.client.available,
       fencingRejections: this.#fencingRejections.counts,
+      directStarts: this.#shardController.directStartCounts,
     });
   }
 }
--- a/src/service/summary.ts
+++ b/src/service/summary.ts
@@ -3,6 +3,7 @@
 import type { FencingRejectionCounts } from '@sumacstep/leader-election';
 import type { Logger } from 'pino';
 import type { Shard } from '../core/shard/shard.js';
+import type { DirectStartCounts } from '../shards/direct-commands.js';
 
 const MEBIBYTE = 2 ** 20;
 /** Range of acceptance times that the histogram covers at first. It grows if one takes longer. */
@@ -36,6 +37,7 @@
   readonly activeJobs: number;
   readonly storeAvailable: boolean;
   readonly fencingRejections: FencingRejectionCounts;
+  readonly directStarts: Readonly<DirectStartCounts>;
 }
 
 /** Collects acceptance times and dropped connections, and writes the periodic `summary` line. */
@@ -59,7 +61,8 @@
   }
 
   /** Writes the line at level `info` and resets the counts. */
-  write({ shards, activeJobs, storeAvailable, fencingRejections }: SummaryInputs): void {
+  write(inputs: SummaryInputs): void {
+    const { shards, activeJobs, storeAvailable, fencingRejections, directStarts } = inputs;
     const percentile = (rank: number) => this.#acceptMs.getValueAtPercentile(rank);
     const count = this.#acceptMs.totalCount;
     this.log.info(
@@ -70,6 +73,7 @@
         acceptMs: { p50: percentile(50), p99: percentile(99), count },
         connectionsDropped: this.#connectionsDropped,
         fencingRejections,
+        directStarts,
         rssMb: Math.round(process.memoryUsage.rss() / MEBIBYTE),
       },
       'summary',
--- a/src/shards/direct-commands.ts
+++ b/src/shards/direct-commands.ts
@@ -4,12 +4,13 @@
  * number in flight is limited. The remaining commands are sent in a later round, or with the answer to a heartbeat.
  */
 import type { Command } from '../core/model.js';
-import type { MachineState, Placement, Shard } from '../core/shard/shard.js';
+import type { MachineState, Shard } from '../core/shard/shard.js';
+import type { DirectStart } from '../core/shard/start-fencing.js';
 import { sendDirectCommands, type DirectCommandResult } from '../workers/direct-command-client.js';
 import { PROBE_PAUSE_MS } from './constants.js';
 import type { OwnedShard } from './owned-shard.js';
 
-/** Maximum number of attempts to send a message to a worker whose agent epoch differs from the known one. */
+/** Maximum number of attempts to send a message to a worker that refuses its agent epoch or its fencing token. */
 const MAX_ATTEMPTS = 2;
 
 /** The socket limit, ownership check and clock that `DirectCommands` uses. */
@@ -22,15 +23,34 @@
   readonly now: () => number;
 }
 
-/** A message to a worker, and the placements to which its start commands belong. */
+/** A message to a worker, and the starts among its commands. */
 interface Message {
   readonly machine: MachineState;
   readonly commands: readonly Command[];
-  readonly starts: readonly Placement[];
+  readonly starts: readonly DirectStart[];
+}
+
+/** The fencing token and the agent epoch under which a message is sent. */
+interface Envelope {
+  readonly fencingToken: number;
+  readonly agentEpoch: number;
+}
+
+/** Numbers of starts sent by direct command since the start of the process, by outcome. */
+export interface DirectStartCounts {
+  /** the worker executed it */
+  executed: number;
+  /** the worker refused it, because it knows a higher fencing token or a later agent epoch */
+  refused: number;
+  /** no connection was established */
+  notSent: number;
+  /** no answer arrived, so that the worker may still execute it */
+  unanswered: number;
 }
 
 /** Sends commands to workers without waiting for a heartbeat. */
 export class DirectCommands {
+  readonly startCounts: DirectStartCounts = { executed: 0, refused: 0, notSent: 0, unanswered: 0 };
   #inFlight = 0;
 
   constructor(private readonly dependencies: DirectCommandsDependencies) {}
@@ -69,47 +89,58 @@
 
   async #send(owned: OwnedShard, message: Message): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const agentEpoch = Math.max(1, message.machine.agentEpoch);
-      const result = await this.#sendOnce(owned.shard, message, agentEpoch);
-      const retry = this.#handleResult(owned, message, agentEpoch, result);
+      const { fencing, agentEpoch } = message.machine;
+      const envelope = { fencingToken: fencing.token, agentEpoch: Math.max(1, agentEpoch) };
+      const result = await this.#sendOnce(message, envelope);
+      const retry = this.#handleResult(owned, message, envelope, result);
       if (!retry) return;
     }
   }
 
-  #sendOnce(shard: Shard, message: Message, agentEpoch: number): Promise<DirectCommandResult> {
-    const { machine, commands } = message;
+  #sendOnce(
+    { machine, commands }: Message,
+    { fencingToken, agentEpoch }: Envelope,
+  ): Promise<DirectCommandResult> {
     this.#inFlight += 1;
-    return sendDirectCommands(machine.address!, shard.term, agentEpoch, commands).finally(() => {
+    return sendDirectCommands(machine.address!, fencingToken, agentEpoch, commands).finally(() => {
       this.#inFlight -= 1;
     });
   }
 
   /**
-   * Processes the result of a message. Returns whether to retry, because the worker refused an agent epoch that is now
-   * known to be outdated.
+   * Processes the result of a message. Returns whether to retry, because the worker refused an agent epoch or a fencing
+   * token that is now known to be outdated.
    */
   #handleResult(
     { shard, authorization }: OwnedShard,
     { machine, starts }: Message,
-    agentEpoch: number,
+    envelope: Envelope,
     result: DirectCommandResult,
   ): boolean {
+    this.startCounts[outcomeOf(result)] += starts.length;
     if (result.kind === 'answered' && !result.executed) {
       const { fencingToken } = result.heartbeat;
-      if (fencingToken > shard.term) authorization.recordRejection('machine', fencingToken);
+      if (fencingToken > shard.tokens.last) authorization.recordRejection('machine', fencingToken);
     }
     if (result.kind === 'in_doubt' || !this.dependencies.isOwned(shard)) return false;
     if (result.kind === 'not_sent') {
-      shard.settleDirectStarts(starts, false);
+      shard.settleDirectStarts(machine, starts, false);
       return false;
     }
     const { executed, heartbeat } = result;
     shard.handleCommandStatus(heartbeat, this.dependencies.now());
-    shard.settleDirectStarts(starts, executed);
-    if (executed || starts.length > 0) return false;
-    // The worker answered 409 because its agent epoch is a different one, which its heartbeat states.
-    if (heartbeat.agentEpoch === agentEpoch || heartbeat.fencingToken > shard.term) return false;
+    shard.settleDirectStarts(machine, starts, executed);
+    if (executed || starts.length > 0 || heartbeat.fencingToken > shard.tokens.last) return false;
+    // The worker answered 409 because it knows a later agent epoch or token, which its heartbeat states.
     machine.agentEpoch = Math.max(machine.agentEpoch, heartbeat.agentEpoch);
-    return true;
+    return (
+      heartbeat.agentEpoch !== envelope.agentEpoch || machine.fencing.token > envelope.fencingToken
+    );
   }
 }
+
+const outcomeOf = (result: DirectCommandResult): keyof DirectStartCounts => {
+  if (result.kind === 'not_sent') return 'notSent';
+  if (result.kind === 'in_doubt') return 'unanswered';
+  return result.executed ? 'executed' : 'refused';
+};
--- a/src/shards/heartbeat-router.ts
+++ b/src/shards/heartbeat-router.ts
@@ -81,7 +81,7 @@
     const mayRenew = authorized || leaseWithholding.mayRenew(now);
     const result = shard.handleHeartbeat(heartbeat, now, authorized, mayRenew);
     if (result.kind === 'answer') {
-      return { kind: 'answer', fencingToken: shard.term, commands: result.commands };
+      return result;
     }
     if (result.kind === 'superseded') {
       const { machine, fencingToken } = heartbeat;
--- a/src/shards/owned-shards.ts
+++ b/src/shards/owned-shards.ts
@@ -8,7 +8,7 @@
 import type { MachineType } from '../core/model.js';
 import { Shard, type ShardSettings } from '../core/shard/shard.js';
 import { storeKey } from '../store/keys.js';
-import { type ShardRecord } from '../store/codecs/shard.js';
+import { lastToken, type ShardRecord } from '../store/codecs/shard.js';
 import type { CacheChanges, Cached, WatchCache } from '../store/watch-cache.js';
 import type { Authority } from './authority.js';
 import { OwnedShard } from './owned-shard.js';
@@ -117,17 +117,23 @@
     const { config, shardOptions, log } = this.dependencies;
     const { term } = record.value;
     this.#builtTerms.set(index, term);
-    const shard = new Shard(index, term, {
-      heartbeatIntervalMs: config.workers.heartbeatIntervalS * 1000,
-      leaseMs: config.workers.leaseS * 1000,
-      cancelMs: config.workers.cancelS * 1000,
-      teams: config.teams,
-      types,
-      ...shardOptions,
-    });
+    const shard = new Shard(
+      index,
+      { first: term, last: lastToken(record.value) },
+      {
+        heartbeatIntervalMs: config.workers.heartbeatIntervalS * 1000,
+        leaseMs: config.workers.leaseS * 1000,
+        cancelMs: config.workers.cancelS * 1000,
+        teams: config.teams,
+        types,
+        ...shardOptions,
+      },
+    );
     const authorization = this.#authorization(shard, record.revision);
     this.#byIndex.set(index, new OwnedShard(shard, authorization, now));
-    log.info({ shard: index, term }, 'shard activated');
+    const { tokens } = shard;
+    const { revision } = this.dependencies.cache;
+    log.info({ shard: index, term, lastToken: tokens.last, revision }, 'shard activated');
   }
 
   /** Returns the authorization for a shard under its term, which is its fencing token. */
--- a/src/shards/ownership-reconciler.ts
+++ b/src/shards/ownership-reconciler.ts
@@ -7,7 +7,7 @@
 import { encodeShard } from '../store/codecs/shard.js';
 import type { Logger } from 'pino';
 import type { PlatformConfig } from '../config/platform.js';
-import { FAILBACK_DELAY_MS } from '../core/ownership/constants.js';
+import { FAILBACK_DELAY_MS, TOKENS_PER_TERM } from '../core/ownership/constants.js';
 import {
   OwnershipPolicy,
   type OwnershipStep,
@@ -17,7 +17,7 @@
 import { StoreRequestError } from '../store/errors.js';
 import { type StoreClient } from '../store/store-client.js';
 import { storeKey } from '../store/keys.js';
-import { type ShardRecord } from '../store/codecs/shard.js';
+import { lastToken, type ShardRecord } from '../store/codecs/shard.js';
 import type { WatchCache } from '../store/watch-cache.js';
 import type { Guard, Write } from '@sumacstep/leader-election';
 import { HEARTBEAT_LOSS_INTERVALS, HEARTBEAT_LOSS_MS, TRANSFER_SETTLE_MS } from './constants.js';
@@ -211,9 +211,9 @@
       const { value } = present;
       guards.push({ key: storeKey.node(value.owner, value.incarnation), revision: 0 });
     }
-    const value: ShardRecord = { owner, incarnation, term: nextTerm };
+    const value: ShardRecord = { owner, incarnation, term: nextTerm, tokens: TOKENS_PER_TERM };
     const writes = [
-      { put: storeKey.term, value: encodeTerm(nextTerm) },
+      { put: storeKey.term, value: encodeTerm(lastToken(value)) },
       { put: storeKey.shard(index), value: encodeShard(value) },
     ];
     return { guards, writes };
--- a/src/shards/shard-controller.ts
+++ b/src/shards/shard-controller.ts
@@ -17,7 +17,7 @@
 import type { HeartbeatResponse } from '../workers/heartbeat-routes.js';
 import { Authority } from './authority.js';
 import { CompletionSaver } from './completions/completion-saver.js';
-import { DirectCommands } from './direct-commands.js';
+import { DirectCommands, type DirectStartCounts } from './direct-commands.js';
 import { HeartbeatRouter, type ObservedWorker } from './heartbeat-router.js';
 import { LeaseWithholding } from './lease-withholding.js';
 import { liveIncarnations } from './live-nodes.js';
@@ -109,6 +109,11 @@
     return this.#shards.byIndex;
   }
 
+  /** Numbers of starts sent by direct command since the start of the process, by outcome. */
+  get directStartCounts(): Readonly<DirectStartCounts> {
+    return this.#directCommands.startCounts;
+  }
+
   /** Workers of other nodes' shards that sent a heartbeat to this node, by machine. */
   get observedWorkers(): Map<string, ObservedWorker> {
     return this.#heartbeats.observedWorkers;
@@ -172,6 +177,7 @@
   }
 
   #runLoops(index: number, owned: OwnedShard, now: number): void {
+    if (owned.shard.needsNewTerm) void this.#ownership.acquire(index);
     owned.shard.placeAll(now);
     this.#directCommands.sendAll(owned, now);
     void this.machines.reconcile(owned, now);
--- a/src/store/codecs/term.ts
+++ b/src/store/codecs/term.ts
@@ -1,4 +1,4 @@
-/** Codec of the latest term assigned to any shard (`term`). */
+/** Codec of the highest fencing token reserved for any shard (`term`): the next change of ownership begins after it. */
 import { nonNegativeInteger } from './schema-parts.js';
 
 /** Returns the stored form of a term. */
--- a/test/controller-scene.ts
+++ b/test/controller-scene.ts
@@ -2,7 +2,7 @@
 import pino from 'pino';
 import { parseOperatorConfig } from '../src/config/operator.js';
 import type { PlatformConfig } from '../src/config/platform.js';
-import { FAILBACK_DELAY_MS } from '../src/core/ownership/constants.js';
+import { FAILBACK_DELAY_MS, TOKENS_PER_TERM } from '../src/core/ownership/constants.js';
 import type { Heartbeat, JobRecord, TaskRange } from '../src/core/model.js';
 import type { OwnedShard } from '../src/shards/owned-shard.js';
 import { ShardController } from '../src/shards/shard-controller.js';
@@ -27,9 +27,10 @@
 export const JOB = 'job-000001';
 export const JOB_KEY = `active/${JOB}`;
 
-/** The term and the owner record of shard 1. */
+/** The term and the owner record of shard 1, and the term that the next change of ownership assigns. */
 export const TERM = 5;
-export const SHARD_1 = { owner: 'n0', incarnation: 'a', term: TERM };
+export const SHARD_1 = { owner: 'n0', incarnation: 'a', term: TERM, tokens: TOKENS_PER_TERM };
+export const NEXT_TERM = TERM + TOKENS_PER_TERM;
 
 type Outcome = CompareAndSwapResult | StoreRequestError;
 
@@ -104,7 +105,7 @@
       revision: 20,
       consistentFrom: 20,
       changes: [
-        watchChange('term', TERM, 10),
+        watchChange('term', NEXT_TERM - 1, 10),
         watchChange('parts/0', { owner: 'n0', incarnation: 'a', term: 4 }, 9),
         watchChange('parts/1', SHARD_1, 10),
         watchChange('nodes/n0/a', { incarnation: 'a' }, 2),
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -3,7 +3,9 @@
 import pino from 'pino';
 import type { CapacityInput } from '../src/core/capacity/capacity-planner.js';
 import type { JobRecord, JobSpec, MachineRecord, MachineType, Team } from '../src/core/model.js';
+import { TOKENS_PER_TERM } from '../src/core/ownership/constants.js';
 import { Shard, type ShardSettings } from '../src/core/shard/shard.js';
+import type { TokenRange } from '../src/core/shard/start-fencing.js';
 import { OwnedShard } from '../src/shards/owned-shard.js';
 
 export const machineType = (overrides: Partial<MachineType> = {}): MachineType => ({
@@ -96,13 +98,19 @@
   }
 }
 
+/** Returns the fencing tokens that a change of ownership reserves from `term` on. */
+export const tokensOf = (term: number): TokenRange => ({
+  first: term,
+  last: term + TOKENS_PER_TERM - 1,
+});
+
 export const shardWith = (
   store: Store,
   term = 1,
   overrides: Partial<ShardSettings> = {},
   now = 0,
 ): Shard => {
-  const shard = new Shard(0, term, settings(overrides));
+  const shard = new Shard(0, tokensOf(term), settings(overrides));
   shard.sync(store, now);
   return shard;
 };
--- /dev/null
+++ b/test/late-starts.test.ts
@@ -0,0 +1,328 @@
+/**
+ * One shard whose network delivers every direct command that it ever sent once more after each step, to the worker that
+ * got the original. No attempt that its worker was told to forget starts again, and no task runs on two machines.
+ */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { Command, JobSpec } from '../src/core/model.js';
+import { StartFencing } from '../src/core/shard/start-fencing.js';
+import { Shard, type MachineState } from '../src/core/shard/shard.js';
+import { toCandidate } from '../src/rebalancing/move-candidates.js';
+import { job, LEASE_MS, machine, settings, shardWith, Store, tokensOf } from './helpers.js';
+import { assertDerivedState } from './standins/derived-state.js';
+import { FakeWorker, World } from './standins/worker.js';
+
+const STEP_MS = 1000;
+const RUN_MS = 6000;
+const UID = 'job-000001';
+const MACHINES = ['a', 'b', 'c'];
+
+/** A direct message as the network keeps it. */
+interface SentMessage {
+  readonly worker: FakeWorker;
+  readonly token: number;
+  readonly agentEpoch: number;
+  readonly commands: readonly Command[];
+}
+
+/** A shard with idle machines, and a network that repeats all direct commands after each step. */
+class RepeatingScene {
+  readonly world = new World();
+  readonly store = new Store();
+  readonly workers = new Map<string, FakeWorker>();
+  readonly sent: SentMessage[] = [];
+  shard: Shard;
+  now = 0;
+  /** whether workers execute direct commands without an answer that arrives */
+  losesAnswers = false;
+  /** workers that neither send heartbeats nor answer, while copies of earlier messages reach them */
+  readonly unreachable = new Set<FakeWorker>();
+
+  constructor(spec: Partial<JobSpec>, runMs = RUN_MS) {
+    for (const name of MACHINES) {
+      this.store.add(machine(name));
+      this.workers.set(name, new FakeWorker(name, this.world, runMs, LEASE_MS, 0));
+    }
+    this.shard = shardWith(this.store);
+    this.run(3);
+    // The workers have confirmed their token by now, so that the job's tasks are started directly.
+    this.store.add(job(spec));
+    this.shard.sync(this.store, this.now);
+    this.shard.placeAll(this.now);
+    this.sendDirectCommands(this.shard);
+    assert.ok(this.sent.some(({ commands }) => commands.some(({ op }) => op === 'start')));
+  }
+
+  /** Runs for that many seconds. `others` are further shards. */
+  run(seconds: number, others: readonly Shard[] = []): void {
+    for (let second = 0; second < seconds; second++) this.step([this.shard, ...others]);
+  }
+
+  step(shards: readonly Shard[]): void {
+    this.now += STEP_MS;
+    for (const shard of shards) shard.sync(this.store, this.now);
+    this.repeatAll();
+    for (const worker of this.workers.values()) {
+      worker.advance(this.now);
+      if (!this.unreachable.has(worker)) this.#report(worker, shards);
+    }
+    this.repeatAll();
+    for (const shard of shards) {
+      shard.expireLeases(this.now);
+      shard.placeAll(this.now);
+      this.sendDirectCommands(shard);
+      assertDerivedState(shard);
+    }
+    this.world.checkCancellations(this.now);
+    assert.deepEqual(this.world.violations, [], `at ${this.now} ms`);
+  }
+
+  #report(worker: FakeWorker, shards: readonly Shard[]): void {
+    const heartbeat = worker.heartbeat();
+    for (const shard of shards) {
+      const result = shard.handleHeartbeat(heartbeat, this.now, true);
+      if (result.kind !== 'answer') continue;
+      const { fencingToken, commands } = result;
+      worker.onHeartbeatAnswer(fencingToken, commands, this.now, heartbeat.agentEpoch);
+      return;
+    }
+  }
+
+  sendDirectCommands(shard: Shard): void {
+    for (const { machine: target, commands, starts } of shard.directCommands(this.now)) {
+      const worker = this.workers.get(target.record.name)!;
+      const message = { worker, token: target.fencing.token, agentEpoch: target.agentEpoch };
+      this.sent.push({ ...message, commands });
+      if (this.unreachable.has(worker)) continue;
+      const executed = worker.executeDirect(message.token, message.agentEpoch, commands);
+      if (this.losesAnswers) continue;
+      shard.handleCommandStatus(worker.heartbeat(), this.now);
+      shard.settleDirectStarts(target, starts, executed);
+    }
+  }
+
+  /** Delivers a copy of every direct message that was ever sent. */
+  repeatAll(): void {
+    for (const { worker, token, agentEpoch, commands } of this.sent) {
+      worker.executeDirect(token, agentEpoch, commands);
+    }
+  }
+
+  cancel(): void {
+    this.store.jobs.delete(UID);
+    this.world.cancelledAt.set(UID, this.now);
+  }
+
+  get attemptsListed(): number {
+    let count = 0;
+    for (const { tasks } of this.workers.values()) count += tasks.size;
+    return count;
+  }
+
+  saveCompletions(): void {
+    for (const { spec, unsavedCompletions } of this.shard.jobs.values()) {
+      this.shard.markCompletionsSaved(spec.uid, [...unsavedCompletions]);
+    }
+  }
+}
+
+interface PathCase {
+  /** how the attempts end, and what happens then */
+  readonly name: string;
+  readonly spec?: Partial<JobSpec>;
+  readonly runMs?: number;
+  readonly injectFaults: (scene: RepeatingScene) => void;
+}
+
+const setFailing = (scene: RepeatingScene, fails: boolean): void => {
+  for (const worker of scene.workers.values()) worker.failsTasks = fails;
+};
+
+/** Lets all running tasks fail and their replacements run. */
+const failAndReplace = (scene: RepeatingScene): void => {
+  for (const worker of scene.workers.values()) worker.failRunningTasks();
+  scene.run(4);
+};
+
+const PATHS: PathCase[] = [
+  { name: 'the attempts failed', injectFaults: failAndReplace },
+  {
+    name: 'the attempts were stopped for work of a higher rank',
+    injectFaults: (scene) => {
+      for (const placement of scene.shard.jobs.get(UID)!.placements.values()) {
+        scene.shard.requestStop(placement, 0, scene.now);
+      }
+      scene.run(4);
+    },
+  },
+  {
+    name: 'the tasks completed, and their job was cancelled later',
+    spec: { tasks: 12 },
+    injectFaults: (scene) => {
+      scene.run(RUN_MS / STEP_MS + 2);
+      scene.saveCompletions();
+      scene.run(3);
+      scene.cancel();
+    },
+  },
+  { name: 'the job was cancelled while its tasks ran', injectFaults: (scene) => scene.cancel() },
+  {
+    name: 'the workers refused the starts for lack of capacity',
+    injectFaults: (scene) => {
+      for (const worker of scene.workers.values()) worker.endRunningTasks('no_room');
+      scene.run(6);
+    },
+  },
+  {
+    name: 'a gang lost a task and began again under another attempt number',
+    spec: { kind: 'gang', tasks: 4 },
+    injectFaults: failAndReplace,
+  },
+  {
+    name: 'no answer arrived',
+    spec: { tasks: 20 },
+    injectFaults: (scene) => {
+      scene.losesAnswers = true;
+      scene.run(12);
+      setFailing(scene, true);
+      scene.run(5);
+      setFailing(scene, false);
+      scene.losesAnswers = false;
+    },
+  },
+  {
+    name: 'a new owner took over after the attempts had failed',
+    injectFaults: (scene) => {
+      for (const worker of scene.workers.values()) worker.failRunningTasks();
+      scene.run(1);
+      scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
+      scene.run(4);
+    },
+  },
+  {
+    name: 'the lease of an unreachable machine expired',
+    runMs: 2 * LEASE_MS,
+    injectFaults: (scene) => {
+      for (const worker of scene.workers.values()) {
+        if (worker.tasks.size > 0) scene.unreachable.add(worker);
+      }
+      scene.run(2 * (LEASE_MS / STEP_MS));
+      scene.unreachable.clear();
+    },
+  },
+];
+
+describe('copies of all direct commands arrive again and again', () => {
+  for (const { name, spec, runMs, injectFaults } of PATHS) {
+    test(`${name}: no attempt starts again`, () => {
+      const scene = new RepeatingScene({ tasks: 4, ...spec }, runMs);
+      injectFaults(scene);
+      for (let round = 0; round < 15; round++) {
+        scene.run(8);
+        scene.saveCompletions();
+      }
+      assert.equal(scene.attemptsListed, 0, 'all attempts are forgotten in the end');
+      if (!scene.world.cancelledAt.has(UID)) {
+        assert.equal(scene.world.completed.get(UID)?.size, spec?.tasks ?? 4);
+      }
+    });
+  }
+
+  test('a failed task migrated to another shard: it does not run on machines of both', () => {
+    const scene = new RepeatingScene({ tasks: 1 });
+    for (const worker of scene.workers.values()) worker.failRunningTasks();
+    scene.step([scene.shard]);
+    const first = scene.shard.tokens;
+    const other = new Shard(1, tokensOf(first.last + 1), settings());
+    const state = scene.shard.jobs.get(UID)!;
+    scene.shard.beginMigration(state, 0, 1);
+    scene.shard.endMigration(state, true, scene.now);
+    scene.store.add(job({}, other.term, 1), machine('d', { shard: 1, term: other.term }));
+    scene.workers.set('d', new FakeWorker('d', scene.world, RUN_MS, LEASE_MS, scene.now));
+    scene.run(20, [other]);
+    assert.equal(scene.world.completed.get(UID)?.size, 1);
+  });
+
+  test('a worker lists a running attempt no longer: its task starts elsewhere only once copies are refused', () => {
+    const scene = new RepeatingScene({ tasks: 1 });
+    const [message] = scene.sent.splice(0);
+    const { worker, token, agentEpoch, commands } = message!;
+    worker.terminate();
+    let startedElsewhere = false;
+    for (let second = 0; second < 20; second++) {
+      scene.step([scene.shard]);
+      for (const { name, tasks } of scene.workers.values()) {
+        if (name !== worker.name && tasks.size > 0) startedElsewhere = true;
+      }
+      assert.ok(!startedElsewhere || worker.fencingToken > token, `at ${scene.now} ms`);
+    }
+    assert.equal(worker.executeDirect(token, agentEpoch, commands), false);
+    assert.equal(scene.world.completed.get(UID)?.size, 1);
+  });
+
+  test('a machine moves to another shard only once its worker refuses all copies', () => {
+    const scene = new RepeatingScene({ tasks: 4 });
+    const isReady = (target: MachineState) =>
+      toCandidate(scene.shard, target, scene.now).readyToMove;
+    for (const target of scene.shard.machines.values()) target.cordoned = true;
+    for (let second = 0; second < 30; second++) {
+      scene.run(1);
+      scene.saveCompletions();
+      for (const target of scene.shard.machines.values()) {
+        const refused = scene.sent.every(
+          ({ worker, token }) => worker.name !== target.record.name || token < worker.fencingToken,
+        );
+        assert.ok(!isReady(target) || refused, `${target.record.name} at ${scene.now} ms`);
+      }
+    }
+    assert.ok([...scene.shard.machines.values()].every(isReady), 'all machines may move');
+  });
+});
+
+describe('fencing of direct starts', () => {
+  const fencing = () => new StartFencing({ first: 10, last: 12 });
+
+  test('a start is executable until a higher token than its own is confirmed', () => {
+    const tracked = fencing();
+    tracked.settle(tracked.recordStart('j/0@1', 0), true);
+    tracked.confirmToken(10);
+    assert.equal(tracked.isExecutable('j/0@1'), true);
+    tracked.raiseToken(100);
+    assert.equal(tracked.token, 11);
+    assert.equal(tracked.isExecutable('j/0@1'), true, 'the worker has not confirmed it yet');
+    tracked.confirmToken(11);
+    assert.equal(tracked.isExecutable('j/0@1'), false);
+  });
+
+  test('the token is not raised while a start is in flight, which the worker would refuse', () => {
+    const tracked = fencing();
+    const start = tracked.recordStart('j/0@1', 0);
+    tracked.raiseToken(100);
+    assert.equal(tracked.token, 10);
+    tracked.settle(start, true);
+    tracked.raiseToken(100);
+    assert.equal(tracked.token, 11);
+    tracked.raiseToken(200);
+    assert.equal(tracked.token, 11, 'no start has this token');
+  });
+
+  test('a start without an answer is void once a higher token is confirmed', () => {
+    const tracked = fencing();
+    const start = tracked.recordStart('j/0@1', 0);
+    tracked.raiseToken(60_000);
+    tracked.confirmToken(11);
+    assert.equal(start.state, 'void');
+    assert.equal(tracked.hasUnsettledStarts, false);
+  });
+
+  test('no start is sent directly under the last token, since it could not be fenced off', () => {
+    const tracked = fencing();
+    for (const now of [0, 1]) {
+      assert.equal(tracked.mayStartDirectly, true);
+      tracked.settle(tracked.recordStart(`j/0@${now}`, now), true);
+      tracked.raiseToken(now);
+    }
+    assert.equal(tracked.token, 12);
+    assert.equal(tracked.mayStartDirectly, false);
+  });
+});
--- a/test/machine-faults.test.ts
+++ b/test/machine-faults.test.ts
@@ -34,7 +34,7 @@
   const result = shard.handleHeartbeat(heartbeat, now, true);
   if (result.kind !== 'answer') return [];
   if (answerArrives)
-    worker.onHeartbeatAnswer(shard.term, result.commands, now, heartbeat.agentEpoch);
+    worker.onHeartbeatAnswer(result.fencingToken, result.commands, now, heartbeat.agentEpoch);
   return result.commands;
 };
 const runsOn = (world: World, task: string): string[] => [...(world.runningOn.get(task) ?? [])];
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -91,19 +91,19 @@
     if (!this.#fits(reportBody(heartbeat))) return;
     const result = this.shard.handleHeartbeat(heartbeat, this.now, true);
     if (result.kind !== 'answer') return;
-    const { term } = this.shard;
-    if (!this.#fits(heartbeatResponseBody(term, result.commands))) return;
-    worker.onHeartbeatAnswer(term, result.commands, this.now, worker.agentEpoch);
+    const { fencingToken, commands } = result;
+    if (!this.#fits(heartbeatResponseBody(fencingToken, commands))) return;
+    worker.onHeartbeatAnswer(fencingToken, commands, this.now, worker.agentEpoch);
   }
 
   #sendDirectCommands(): void {
     for (const { machine: target, commands, starts } of this.shard.directCommands(this.now)) {
       const worker = this.workers.find(({ name }) => name === target.record.name)!;
-      const body = commandsBody(this.shard.term, worker.agentEpoch, commands);
-      const executed =
-        this.#fits(body) && worker.executeDirect(this.shard.term, worker.agentEpoch, commands);
+      const { token } = target.fencing;
+      const body = commandsBody(token, worker.agentEpoch, commands);
+      const executed = this.#fits(body) && worker.executeDirect(token, worker.agentEpoch, commands);
       if (this.now < this.directAnswersLostUntil) continue;
-      this.shard.settleDirectStarts(starts, executed);
+      this.shard.settleDirectStarts(target, starts, executed);
       const status = worker.heartbeat();
       if (this.#fits(reportBody(status))) this.shard.handleCommandStatus(status, this.now);
     }
--- a/test/move-candidates.test.ts
+++ b/test/move-candidates.test.ts
@@ -38,7 +38,12 @@
   ],
   [
     'a start that was sent directly has no answer yet',
-    (m) => void m.unsettledDirectStarts.add('j/0@1'),
+    (m) => void m.fencing.recordStart('j/0@1', NOW),
+    false,
+  ],
+  [
+    'a copy of a start that was sent directly may still be executed',
+    (m) => m.fencing.settle(m.fencing.recordStart('j/0@1', NOW), true),
     false,
   ],
   ['an unknown task on it is being stopped', (m) => (m.unknownTaskCount = 1), false],
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -3,7 +3,7 @@
  *
  * - Owners change, some within a fraction of a second. Former owners that lost contact with all other nodes go on
  *   answering heartbeats for as long as an unknown cancellation allows.
- * - Answers get lost. Direct commands arrive late. Copies of reports arrive late by up to several leases, at whichever
+ * - Answers get lost. Direct commands arrive late, and copies of executed ones once more. Copies of reports arrive late by up to several leases, at whichever
  *   owner the shard has then; some old reports reach the next owner as it starts.
  * - Machines hang, fall silent, lose all commands, or lose all heartbeats while commands reach them, and are returned.
  * - Saves of completions get no answer, and are applied later or at once.
@@ -17,6 +17,7 @@
 import { renewalWindowMs } from '../src/core/cancellation/lease-renewal.js';
 import { decodeDone, encodeDone } from '../src/core/jobs/jobs.js';
 import type { Command, Heartbeat } from '../src/core/model.js';
+import { TOKENS_PER_TERM } from '../src/core/ownership/constants.js';
 import type { Shard } from '../src/core/shard/shard.js';
 import { seededRandomInt } from '../src/random.js';
 import { job, LEASE_MS, machine, shardWith, Store } from './helpers.js';
@@ -27,7 +28,7 @@
 interface DelayedCommands {
   at: number;
   worker: FakeWorker;
-  term: number;
+  token: number;
   agentEpoch: number;
   commands: readonly Command[];
 }
@@ -39,6 +40,8 @@
 }
 
 const STEP_MS = 500;
+/** Share of the executed direct commands of which a copy arrives later. */
+const COPIED_COMMANDS_PERCENT = 75;
 /** Copies of reports arrive late by up to this, which is well over a lease. */
 const MAX_DUPLICATE_DELAY_MS = 3 * LEASE_MS;
 
@@ -73,6 +76,7 @@
   let delayedReportsDelivered = 0;
   let saveAnswersLost = 0;
   let commandLossFaults = 0;
+  let commandCopies = 0;
   let machines = 0;
   let jobs = 0;
 
@@ -167,7 +171,7 @@
       for (let lives = chance(20) ? 2 : 1; lives > 0; lives--) {
         formerOwner = shard;
         formerOwnerSinceMs = now;
-        term += 1;
+        term += TOKENS_PER_TERM;
         shard = shardWith(store, term, {}, now);
         for (const heartbeat of reportsForNextOwner) shard.handleHeartbeat(heartbeat, now, true);
         delayedReportsDelivered += reportsForNextOwner.length;
@@ -188,28 +192,34 @@
     for (const { machine: machineState, commands, starts } of shard.directCommands(now)) {
       const worker = workers.get(machineState.record.name);
       if (worker === undefined) continue;
-      const agentEpoch = machineState.agentEpoch;
+      const { agentEpoch } = machineState;
+      const { token } = machineState.fencing;
       if (chance(30)) {
         // No answer: the commands are carried out later, twice, or never.
         for (let repeats = random(3); repeats > 0; repeats--) {
-          delayedCommands.push({ at: now + random(60_000), worker, term, agentEpoch, commands });
+          delayedCommands.push({ at: now + random(60_000), worker, token, agentEpoch, commands });
         }
         continue;
       }
       // Commands to a machine that loses all commands never arrive and get no answer.
       if ((commandsLostUntil.get(worker.name) ?? 0) > now) continue;
       if (worker.hung || (silentUntil.get(worker.name) ?? 0) > now) {
-        shard.settleDirectStarts(starts, false);
+        shard.settleDirectStarts(machineState, starts, false);
         continue;
       }
-      const executed = worker.executeDirect(term, agentEpoch, commands);
+      const executed = worker.executeDirect(token, agentEpoch, commands);
+      if (chance(COPIED_COMMANDS_PERCENT)) {
+        commandCopies += 1;
+        const at = now + random(MAX_DUPLICATE_DELAY_MS);
+        delayedCommands.push({ at, worker, token, agentEpoch, commands });
+      }
       shard.handleCommandStatus(worker.heartbeat(), now);
-      shard.settleDirectStarts(starts, executed);
+      shard.settleDirectStarts(machineState, starts, executed);
     }
     for (const delayed of delayedCommands.filter((message) => message.at <= now)) {
       delayedCommands.splice(delayedCommands.indexOf(delayed), 1);
       if (workers.has(delayed.worker.name))
-        delayed.worker.executeDirect(delayed.term, delayed.agentEpoch, delayed.commands);
+        delayed.worker.executeDirect(delayed.token, delayed.agentEpoch, delayed.commands);
     }
 
     for (const [name, worker] of [...workers]) {
@@ -246,7 +256,7 @@
       // Some answers get lost, and all answers to machines that lose commands.
       if ((commandsLostUntil.get(name) ?? 0) > now) continue;
       if (!chance(15))
-        worker.onHeartbeatAnswer(owner.term, result.commands, now, report.agentEpoch);
+        worker.onHeartbeatAnswer(result.fencingToken, result.commands, now, report.agentEpoch);
     }
     for (const machineState of [...shard.machines.values()]) {
       if (
@@ -278,6 +288,7 @@
   return {
     world,
     duplicatesDelivered,
+    commandCopies,
     commandLossFaults,
     cancelledAtEnd,
     servicesStarted,
@@ -295,6 +306,7 @@
   let servicesStarted = 0;
   let delayedReportsDelivered = 0;
   let saveAnswersLost = 0;
+  let commandCopies = 0;
   for (let seed = 1; seed <= 60; seed++) {
     const { world, ...counts } = simulate(seed);
     assert.deepEqual(world.violations, [], `seed ${seed}`);
@@ -304,6 +316,7 @@
     servicesStarted += counts.servicesStarted;
     delayedReportsDelivered += counts.delayedReportsDelivered;
     saveAnswersLost += counts.saveAnswersLost;
+    commandCopies += counts.commandCopies;
     started += world.starts;
     for (const done of world.completed.values()) completed += done.size;
   }
@@ -314,6 +327,7 @@
     delayedReportsDelivered > 100 && saveAnswersLost > 50,
     `${delayedReportsDelivered} ${saveAnswersLost}`,
   );
+  assert.ok(commandCopies > 500, `${commandCopies} copies of direct commands`);
   assert.ok(
     duplicatesDelivered > 1000 && commandLossFaults > 100,
     `${duplicatesDelivered} copies, ${commandLossFaults} faults that lose commands`,
--- a/test/services.test.ts
+++ b/test/services.test.ts
@@ -29,7 +29,7 @@
   const heartbeat = worker.heartbeat();
   const result = shard.handleHeartbeat(heartbeat, now, true);
   if (result.kind !== 'answer') return;
-  worker.onHeartbeatAnswer(shard.term, result.commands, now, heartbeat.agentEpoch);
+  worker.onHeartbeatAnswer(result.fencingToken, result.commands, now, heartbeat.agentEpoch);
 };
 
 const startCluster = (
--- a/test/shard-controller.test.ts
+++ b/test/shard-controller.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { renewalWindowMs } from '../src/core/cancellation/lease-renewal.js';
+import { TOKENS_PER_TERM } from '../src/core/ownership/constants.js';
 import { ATTEMPTS_PER_TERM } from '../src/core/shard/constants.js';
 import { TRANSFER_SETTLE_MS } from '../src/shards/constants.js';
 import { encodeJob } from '../src/store/codecs/job.js';
@@ -11,6 +12,7 @@
   ControllerScene,
   JOB,
   jobChange,
+  NEXT_TERM,
   noAnswer,
   flushStoreCalls,
   SHARD_1,
@@ -52,11 +54,11 @@
   );
   scene.outcome = () => ({ ok: true, epoch: 60 });
   await scene.tickAt(scene.now + TRANSFER_SETTLE_MS + 1);
-  assert.equal(scene.termOf(1), TERM + 1);
+  assert.equal(scene.termOf(1), NEXT_TERM);
   scene.showChanges(60);
   scene.tick();
   const { shard } = scene.owned(1)!;
-  assert.equal(shard.term, TERM + 1);
+  assert.equal(shard.term, NEXT_TERM);
   assert.equal(shard.recovered, false, 'every machine has to send a heartbeat first');
 });
 
@@ -69,7 +71,7 @@
   scene.tick();
   assert.equal(scene.owned(1), undefined);
   await flushStoreCalls();
-  assert.equal(scene.termOf(1), TERM + 1, 'the shard is acquired under a new term');
+  assert.equal(scene.termOf(1), NEXT_TERM, 'the shard is acquired under a new term');
 });
 
 test('a heartbeat for a transferring shard or an unknown machine is not answered and renews no lease', async () => {
@@ -81,6 +83,24 @@
   assert.equal(scene.heartbeat({ fencingToken: 0, machine: 'unknown' }).kind, 'unavailable');
 });
 
+test('a shard that an earlier version transferred is acquired under a new term, which reserves tokens for direct starts', async () => {
+  const scene = new ControllerScene();
+  const transferred = { owner: 'n0', incarnation: 'a', term: NEXT_TERM };
+  scene.showChanges(30, [
+    watchChange('term', NEXT_TERM, 30),
+    watchChange('parts/1', transferred, 30),
+  ]);
+  scene.tick();
+  await flushStoreCalls();
+  assert.equal(scene.owned(1)?.shard.term, NEXT_TERM);
+  const written = scene.written.flat().find((write) => 'put' in write && write.put === 'term');
+  assert.deepEqual(written, { put: 'term', value: NEXT_TERM + TOKENS_PER_TERM });
+  scene.showChanges(60);
+  scene.tick();
+  const { tokens } = scene.owned(1)!.shard;
+  assert.deepEqual(tokens, { first: NEXT_TERM + 1, last: NEXT_TERM + TOKENS_PER_TERM });
+});
+
 test('without authority running tasks keep their lease, and no task starts', () => {
   const scene = new ControllerScene();
   scene.leaseValid = false;
--- a/test/shard.test.ts
+++ b/test/shard.test.ts
@@ -24,7 +24,7 @@
   if (mayStart) shard.placeAll(now);
   const result = shard.handleHeartbeat(heartbeat, now, mayStart);
   if (result.kind !== 'answer') return [];
-  worker.onHeartbeatAnswer(shard.term, result.commands, now, heartbeat.agentEpoch);
+  worker.onHeartbeatAnswer(result.fencingToken, result.commands, now, heartbeat.agentEpoch);
   return result.commands;
 };
 const starts = (commands: readonly Command[]) =>
@@ -212,7 +212,7 @@
   const [workerA, workerB] = createWorkers(['a', 'b']);
   exchangeHeartbeat(old, workerA!, 0);
   exchangeHeartbeat(old, workerA!, 600);
-  const shard = shardWith(store, 2, {}, 5000);
+  const shard = shardWith(store, old.tokens.last + 1, {}, 5000);
   for (const worker of [workerA!, workerB!]) exchangeHeartbeat(shard, worker, 5000);
   for (const worker of [workerA!, workerB!])
     assert.deepEqual(starts(exchangeHeartbeat(shard, worker, 5600)), []);
@@ -235,7 +235,7 @@
   assert.equal(shard.jobs.get('job-000001')?.placements.size, 1);
 });
 
-test('a task whose direct start is in doubt starts on no other machine, and its attempt is not forgotten', () => {
+test('a task whose direct start is in doubt starts on no other machine, and a late copy starts nothing', () => {
   const world = new World();
   const shard = shardWith(new Store().add(machine('a'), machine('b'), job()));
   const [workerA, workerB] = createWorkers(['a', 'b'], world);
@@ -243,6 +243,7 @@
   for (const worker of [workerA!, workerB!]) shard.handleCommandStatus(worker.heartbeat(), 100);
   shard.placeAll(200);
   const [direct] = shard.directCommands(200);
+  const directToken = direct!.machine.fencing.token;
   const target = direct!.machine.record.name === 'a' ? workerA! : workerB!;
   const other = target === workerA ? workerB! : workerA!;
   assert.deepEqual(starts(direct!.commands), ['job-000001/0']);
@@ -259,14 +260,15 @@
   shard.jobs.get('job-000001')!.ended = true;
   const placement = shard.jobs.get('job-000001')!.placements.get(0)!;
   shard.requestStop(placement, 0, 2000);
-  for (let now = 3000; now < 12_000; now += 3000) exchangeHeartbeat(shard, target, now);
-  assert.equal(target.tasks.size, 1, 'the ended attempt stays listed');
-  target.executeDirect(shard.term, target.agentEpoch, direct!.commands);
-  assert.deepEqual(
-    running(target),
-    [],
-    'the late command finds the ended attempt and starts nothing',
-  );
+  for (let now = 3000; now < 12_000; now += 3000) {
+    exchangeHeartbeat(shard, target, now);
+    assert.ok(
+      target.tasks.size === 1 || target.fencingToken > directToken,
+      'the ended attempt stays listed until its worker refuses the late command',
+    );
+    target.executeDirect(directToken, target.agentEpoch, direct!.commands);
+    assert.deepEqual(running(target), [], 'the late command starts nothing');
+  }
   assert.deepEqual(world.violations, []);
 });
 
@@ -277,7 +279,7 @@
   shard.handleCommandStatus(workerA!.heartbeat(), 100);
   shard.placeAll(200);
   const [direct] = shard.directCommands(200);
-  shard.settleDirectStarts(direct!.starts, false);
+  shard.settleDirectStarts(direct!.machine, direct!.starts, false);
   shard.expireLeases(20_000);
   assert.equal(shard.jobs.get('job-000001')?.placements.size, 0);
 });
--- a/test/socket-budget.test.ts
+++ b/test/socket-budget.test.ts
@@ -80,7 +80,7 @@
   assert.equal(shard.directCommands(100, 0).length, 0);
   const rest = shard.directCommands(200, 20);
   assert.equal(rest.length, 10, 'machines that had no socket come next');
-  const tasks = [...first, ...rest].flatMap((c) => c.starts.map((p) => p.index));
+  const tasks = [...first, ...rest].flatMap((c) => c.starts.map((start) => start.attempt));
   assert.equal(new Set(tasks).size, 60);
 });
 
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -16,7 +16,8 @@
 /**
  * Tracks which task runs on which machine, and records every violation of an invariant: a task runs on two machines at
  * a time (`ran_twice`), too long after its job's cancellation (`ran_cancelled`), in a wrong zone (`wrong_place`), or
- * beyond the quota of its team (`quota`). Tasks are named `uid/index`.
+ * beyond the quota of its team (`quota`), or a worker starts an attempt again that it was told to forget (`restarted`).
+ * Tasks are named `uid/index`.
  */
 export class World {
   /** violations; each begins with the name of its rule */
@@ -149,6 +150,8 @@
   failsTasks = false;
   /** attempts by `uid/index@attempt` */
   readonly tasks = new Map<string, WorkerTask>();
+  /** attempts that were started in this agent epoch, by `uid/index@attempt` */
+  readonly #startedAttempts = new Set<string>();
   #leaseStartMs: number;
   #nowMs: number;
 
@@ -223,6 +226,8 @@
     const existing = this.tasks.get(entry);
     if (command.op === 'start') {
       if (existing !== undefined) return;
+      if (this.#startedAttempts.has(entry)) this.world.violations.push(`restarted ${entry}`);
+      this.#startedAttempts.add(entry);
       const busy = [...this.tasks.values()].some(
         (o) => o.uid === command.uid && o.index === command.index && o.state === 'running',
       );
@@ -262,6 +267,7 @@
       for (const task of this.tasks.values())
         if (task.state === 'running') this.#exit(task, 'stopped');
       this.tasks.clear();
+      this.#startedAttempts.clear();
       this.agentEpoch += 1;
       this.#leaseStartMs = now;
     }
@@ -274,6 +280,16 @@
     }
   }
 
+  /** Lets all running tasks fail. */
+  failRunningTasks(): void {
+    this.endRunningTasks('error');
+  }
+
+  /** Ends all running tasks for that reason. */
+  endRunningTasks(why: ReportedTask['why']): void {
+    for (const task of this.tasks.values()) if (task.state === 'running') this.#exit(task, why);
+  }
+
   /** Ends the machine and everything that runs on it. */
   terminate(): void {
     for (const task of this.tasks.values())
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -240,7 +240,8 @@
   for (let now = 0; now < 2000; now += 500) {
     const heartbeat = worker.heartbeat();
     const result = shard.handleHeartbeat(heartbeat, now, true);
-    if (result.kind === 'answer') worker.onHeartbeatAnswer(shard.term, result.commands, now, 1);
+    if (result.kind === 'answer')
+      worker.onHeartbeatAnswer(result.fencingToken, result.commands, now, 1);
   }
   assert.equal(shard.recovered, true);
   assert.equal(job.placements.get(6)?.attempt, 5 * 2 ** 23, "the previous owner's task goes on");
