Choosing the tasks that a worker forgets is a module of its own

Change: forgetCandidates, isForgetOfCompletedDue and fence move to task-forgetting.ts; no change of behaviour.

--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -1,26 +1,13 @@
 /** Computes the commands that bring workers in line with the state of a shard. */
 import type { Command, Heartbeat, ReportedTask } from '../model.js';
-import {
-  FORGET_BATCH_LIMIT,
-  FORGET_DELAY_MAX_MS,
-  MAX_DIRECT_COMMANDS_PER_ROUND,
-  STOP_OVERDUE_MARGIN_S,
-} from './constants.js';
-import { CommandMessage, type ForgettableTask } from './command-message.js';
-import { InertAttempt } from './inert-attempt.js';
+import { MAX_DIRECT_COMMANDS_PER_ROUND, STOP_OVERDUE_MARGIN_S } from './constants.js';
+import { CommandMessage } from './command-message.js';
 import { isUndispatched, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
 import type { DirectStart } from './start-fencing.js';
+import { fence, forgetCandidates, isForgetOfCompletedDue } from './task-forgetting.js';
 import type { DirectCommandBatch, MachineState, Placement } from './types.js';
 
-/** The exited tasks of a worker's list that it need not list any more. */
-interface ForgetCandidates {
-  /** tasks that have not completed */
-  readonly ended: readonly ReportedTask[];
-  /** completed tasks; these may wait, since a completed task is never started again */
-  readonly completed: readonly ReportedTask[];
-}
-
 /** Computes the commands for heartbeat answers and for direct calls to workers. */
 export class CommandPlanner {
   constructor(private readonly state: ShardState) {}
@@ -39,7 +26,7 @@
     const message = new CommandMessage();
     this.#addStops(machine, heartbeat, now, message);
     if (mayStart) endUnsettledStarts(machine, message);
-    const { ended, completed } = this.#forgetCandidates(heartbeat);
+    const { ended, completed } = forgetCandidates(this.state, heartbeat);
     message.addForgets(fence(machine, ended, now));
     if (mayStart) startUnlisted(machine, heartbeat.counter, message);
     if (isForgetOfCompletedDue(machine, completed.length, message, now)) {
@@ -78,21 +65,6 @@
     }
   }
 
-  #forgetCandidates(heartbeat: Heartbeat): ForgetCandidates {
-    const ended: ReportedTask[] = [];
-    const completed: ReportedTask[] = [];
-    for (const task of heartbeat.tasks) {
-      if (task.state !== 'exited' || this.#isUnsavedCompletion(task)) continue;
-      (task.why === 'done' ? completed : ended).push(task);
-    }
-    return { ended, completed };
-  }
-
-  /** A worker may forget a completion only once it is saved in the store. */
-  #isUnsavedCompletion({ uid, index, why }: ReportedTask): boolean {
-    return why === 'done' && this.state.jobs.get(uid)?.unsavedCompletions.has(index) === true;
-  }
-
   /** Returns the starts and stops to send without waiting for a heartbeat, for at most `maxMachines` machines. */
   directCommands(now: number, maxMachines: number, mayStart: boolean): DirectCommandBatch[] {
     const batches: DirectCommandBatch[] = [];
@@ -119,44 +91,6 @@
   }
 }
 
-/**
- * Whether this answer should tell the worker to forget completed tasks. A worker sends a heartbeat whenever its task
- * list has changed, so a forget on its own costs an extra heartbeat: a quarter of all heartbeats at the fleet's size.
- * Together with other commands it costs none. Updates `forgettableSince`.
- */
-const isForgetOfCompletedDue = (
-  machine: MachineState,
-  count: number,
-  { commands }: CommandMessage,
-  now: number,
-): boolean => {
-  machine.forgettableSince = count === 0 ? null : (machine.forgettableSince ?? now);
-  if (machine.forgettableSince === null) return false;
-  // A machine moves to another shard only once its worker lists no tasks.
-  const immediate = commands.length > 0 || machine.cordoned || count >= FORGET_BATCH_LIMIT;
-  const due = immediate || now - machine.forgettableSince >= FORGET_DELAY_MAX_MS;
-  if (due) machine.forgettableSince = null;
-  return due;
-};
-
-/**
- * Returns the tasks that the worker may forget by the answer to its heartbeat. Raises the token of the answer if that is
- * needed for some of them.
- */
-const fence = (
-  machine: MachineState,
-  tasks: readonly ReportedTask[],
-  now: number,
-): ForgettableTask[] => {
-  const forgettable: ForgettableTask[] = [];
-  for (const task of tasks) {
-    if (InertAttempt.fenced(machine, task) === null) machine.fencing.raiseToken(now);
-    const evidence = InertAttempt.fenced(machine, task);
-    if (evidence !== null) forgettable.push({ task, evidence });
-  }
-  return forgettable;
-};
-
 type StopCommand = Extract<Command, { op: 'stop' }>;
 type StartCommand = Extract<Command, { op: 'start' }>;
 
