Late copies: the case of the killed controller is deterministic; preempted, moved and cancelled in between

Copies for preempted tasks, for a task that migrated and was cancelled, and for machines that really move were not shown. Change: the copy is delivered between the end of the controller and its restart, once the failed attempts are replaced and forgotten. late-starts.test.ts: a job of a higher rank preempts running tasks; a failed task migrates and its job is cancelled there; machines move and take work of the target. Sources are unchanged.

--- a/test/late-commands.test.ts
+++ b/test/late-commands.test.ts
@@ -73,6 +73,11 @@
   return uid;
 };
 
+const listsEndedAttempts = (cluster: Cluster): boolean =>
+  cluster
+    .workerHosts()
+    .some(({ worker }) => [...worker.tasks.values()].some(({ state }) => state === 'exited'));
+
 const waitUntilDone = (cluster: Cluster, uid: string): Promise<void> =>
   cluster.waitUntil(`${uid} done`, 60, async () => (await cluster.statusOf('n0', uid)) === 'done');
 
@@ -93,13 +98,17 @@
       await waitUntilDone(cluster, uid);
     }));
 
-  test('as the controller is killed and back at once: the task does not run on two machines', () =>
+  test('while the controller that replaced its failed attempt is down: the task does not run on two machines', () =>
     withCopies(COPY_DELAY_MS, async (cluster) => {
       const uid = await submitWithFailedAttempt(cluster);
-      await cluster.runFor((COPY_DELAY_MS - 700) / 1000);
+      await cluster.waitUntil(
+        'the failed attempts are replaced and forgotten',
+        60,
+        () => cluster.runningTasks(uid) === 4 && !listsEndedAttempts(cluster),
+      );
       cluster.kill('n0');
+      for (const host of cluster.workerHosts()) host.deliverCommandCopies();
       await cluster.start('n0');
-      await waitForCopies(cluster);
       await waitUntilDone(cluster, uid);
     }));
 
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -113,6 +113,14 @@
     this.world.cancelledAt.set(UID, this.now);
   }
 
+  runningTasks(uid: string): number {
+    let count = 0;
+    for (const [task, machines] of this.world.runningOn) {
+      if (task.startsWith(`${uid}/`)) count += machines.size;
+    }
+    return count;
+  }
+
   get attemptsListed(): number {
     let count = 0;
     for (const { tasks } of this.workers.values()) count += tasks.size;
@@ -144,10 +152,37 @@
   scene.run(4);
 };
 
+/** Lets all running tasks fail, and one of them migrate to a shard with a machine of its own. Returns that shard. */
+const failAndMigrate = (scene: RepeatingScene): Shard => {
+  for (const worker of scene.workers.values()) worker.failRunningTasks();
+  scene.step([scene.shard]);
+  const other = new Shard(1, tokensOf(scene.shard.tokens.last + 1), settings());
+  const state = scene.shard.jobs.get(UID)!;
+  scene.shard.beginMigration(state, 0, 1);
+  scene.shard.endMigration(state, true, scene.now);
+  scene.store.add(job({}, other.term, 1), machine('d', { shard: 1, term: other.term }));
+  scene.workers.set('d', new FakeWorker('d', scene.world, RUN_MS, LEASE_MS, scene.now));
+  return other;
+};
+
 const PATHS: PathCase[] = [
   { name: 'the attempts failed', injectFaults: failAndReplace },
   {
-    name: 'the attempts were stopped for work of a higher rank',
+    name: 'work of a higher rank preempted the tasks',
+    spec: { tasks: 6, priority: 'low' },
+    runMs: 30_000,
+    injectFaults: (scene) => {
+      scene.run(1);
+      assert.equal(scene.runningTasks(UID), 6, 'the machines are full');
+      scene.store.add(job({ uid: 'job-000002', tasks: 6, priority: 'production' }));
+      // Each step has one pass, which preempts one task.
+      scene.run(8);
+      assert.equal(scene.runningTasks(UID), 0, 'all tasks were preempted');
+      assert.equal(scene.runningTasks('job-000002'), 6);
+    },
+  },
+  {
+    name: 'the attempts were stopped',
     injectFaults: (scene) => {
       for (const placement of scene.shard.jobs.get(UID)!.placements.values()) {
         scene.shard.requestStop(placement, 0, scene.now);
@@ -230,19 +265,38 @@
 
   test('a failed task migrated to another shard: it does not run on machines of both', () => {
     const scene = new RepeatingScene({ tasks: 1 });
-    for (const worker of scene.workers.values()) worker.failRunningTasks();
-    scene.step([scene.shard]);
-    const first = scene.shard.tokens;
-    const other = new Shard(1, tokensOf(first.last + 1), settings());
-    const state = scene.shard.jobs.get(UID)!;
-    scene.shard.beginMigration(state, 0, 1);
-    scene.shard.endMigration(state, true, scene.now);
-    scene.store.add(job({}, other.term, 1), machine('d', { shard: 1, term: other.term }));
-    scene.workers.set('d', new FakeWorker('d', scene.world, RUN_MS, LEASE_MS, scene.now));
-    scene.run(20, [other]);
+    scene.run(20, [failAndMigrate(scene)]);
     assert.equal(scene.world.completed.get(UID)?.size, 1);
   });
 
+  test('a failed task migrated to another shard and was cancelled there: it does not start again', () => {
+    const scene = new RepeatingScene({ tasks: 1 });
+    const other = failAndMigrate(scene);
+    scene.run(3, [other]);
+    assert.equal(scene.runningTasks(UID), 1);
+    scene.cancel();
+    scene.run(60, [other]);
+    assert.equal(scene.runningTasks(UID), 0);
+  });
+
+  test('machines moved to another shard: copies of the source start nothing there', () => {
+    const scene = new RepeatingScene({ tasks: 4 });
+    for (const target of scene.shard.machines.values()) target.cordoned = true;
+    for (let second = 0; second < 30; second++) {
+      scene.run(1);
+      scene.saveCompletions();
+    }
+    const other = new Shard(1, tokensOf(scene.shard.tokens.last + 1), settings());
+    for (const target of [...scene.shard.machines.values()]) {
+      assert.ok(toCandidate(scene.shard, target, scene.now).readyToMove, target.record.name);
+      scene.store.add(machine(target.record.name, { shard: 1, term: other.term }));
+    }
+    const moved = job({ uid: 'job-000002', tasks: 6 }, other.term, 1);
+    scene.store.add(moved);
+    scene.run(20, [other]);
+    assert.equal(scene.world.completed.get('job-000002')?.size, 6);
+  });
+
   test('a worker lists a running attempt no longer: its task starts elsewhere only once copies are refused', () => {
     const scene = new RepeatingScene({ tasks: 1 });
     const [message] = scene.sent.splice(0);
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -76,6 +76,7 @@
   duplicatesSent = 0;
   /** name and address of each node */
   #nodes: readonly [string, string][] = [];
+  readonly #commandCopies: (() => void)[] = [];
   #stopped = false;
   #heartbeatInFlight = false;
   #lastHeartbeatMs = 0;
@@ -111,13 +112,19 @@
   #scheduleCommandCopy({ Mandate, Tenure, Orders }: WireCommands, delayMs: number): void {
     if (!Orders.some(({ Verb }) => Verb === 'start')) return;
     this.commandCopies += 1;
-    const timer = setTimeout(() => {
+    const deliver = () => {
       if (this.#stopped) return;
       this.commandCopiesArrived += 1;
       this.worker.advance(Date.now());
       this.worker.executeDirect(Mandate, Tenure, Orders.map(parseOrder));
-    }, delayMs);
-    timer.unref();
+    };
+    this.#commandCopies.push(deliver);
+    setTimeout(deliver, delayMs).unref();
+  }
+
+  /** Delivers a copy of every such message now, besides the one that arrives later. */
+  deliverCommandCopies(): void {
+    for (const deliver of this.#commandCopies) deliver();
   }
 
   async #sendHeartbeat(nodes: readonly [string, string][]): Promise<void> {
