The scene of one shard and its network is a module of its own

Need: tests of other faults than late copies need one shard with stand-in workers whose network can be steered. Change: the scene moves from late-starts.test.ts to test/shard-scene.ts. A stand-in worker can restart, and does so when its lease expires.

--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -4,160 +4,38 @@
  */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import type { Command, JobSpec } from '../src/core/model.js';
+import type { JobSpec } from '../src/core/model.js';
 import { StartFencing } from '../src/core/shard/start-fencing.js';
 import { Shard, type MachineState } from '../src/core/shard/shard.js';
 import { toCandidate } from '../src/rebalancing/move-candidates.js';
-import { job, LEASE_MS, machine, settings, shardWith, Store, tokensOf } from './helpers.js';
-import { assertDerivedState } from './standins/derived-state.js';
-import { FakeWorker, World } from './standins/worker.js';
-
-const STEP_MS = 1000;
-const RUN_MS = 6000;
-const UID = 'job-000001';
-const MACHINES = ['a', 'b', 'c'];
-
-/** A direct message as the network keeps it. */
-interface SentMessage {
-  readonly worker: FakeWorker;
-  readonly token: number;
-  readonly agentEpoch: number;
-  readonly commands: readonly Command[];
-}
-
-/** A shard with idle machines, and a network that repeats all direct commands after each step. */
-class RepeatingScene {
-  readonly world = new World();
-  readonly store = new Store();
-  readonly workers = new Map<string, FakeWorker>();
-  readonly sent: SentMessage[] = [];
-  shard: Shard;
-  now = 0;
-  /** whether workers execute direct commands without an answer that arrives */
-  losesAnswers = false;
-  /** workers that neither send heartbeats nor answer, while copies of earlier messages reach them */
-  readonly unreachable = new Set<FakeWorker>();
-
-  constructor(spec: Partial<JobSpec>, runMs = RUN_MS) {
-    for (const name of MACHINES) {
-      this.store.add(machine(name));
-      this.workers.set(name, new FakeWorker(name, this.world, runMs, LEASE_MS, 0));
-    }
-    this.shard = shardWith(this.store);
-    this.run(3);
-    // The workers have confirmed their token by now, so that the job's tasks are started directly.
-    this.store.add(job(spec));
-    this.shard.sync(this.store, this.now);
-    this.shard.placeAll(this.now);
-    this.sendDirectCommands(this.shard);
-    assert.ok(this.sent.some(({ commands }) => commands.some(({ op }) => op === 'start')));
-  }
-
-  /** Runs for that many seconds. `others` are further shards. */
-  run(seconds: number, others: readonly Shard[] = []): void {
-    for (let second = 0; second < seconds; second++) this.step([this.shard, ...others]);
-  }
-
-  step(shards: readonly Shard[]): void {
-    this.now += STEP_MS;
-    for (const shard of shards) shard.sync(this.store, this.now);
-    this.repeatAll();
-    for (const worker of this.workers.values()) {
-      worker.advance(this.now);
-      if (!this.unreachable.has(worker)) this.#report(worker, shards);
-    }
-    this.repeatAll();
-    for (const shard of shards) {
-      shard.expireLeases(this.now);
-      shard.placeAll(this.now);
-      this.sendDirectCommands(shard);
-      assertDerivedState(shard);
-    }
-    this.world.checkCancellations(this.now);
-    assert.deepEqual(this.world.violations, [], `at ${this.now} ms`);
-  }
-
-  #report(worker: FakeWorker, shards: readonly Shard[]): void {
-    const heartbeat = worker.heartbeat();
-    for (const shard of shards) {
-      const result = shard.handleHeartbeat(heartbeat, this.now, true);
-      if (result.kind !== 'answer') continue;
-      const { fencingToken, commands } = result;
-      worker.onHeartbeatAnswer(fencingToken, commands, this.now, heartbeat.agentEpoch);
-      return;
-    }
-  }
-
-  sendDirectCommands(shard: Shard): void {
-    for (const { machine: target, commands, starts } of shard.directCommands(this.now)) {
-      const worker = this.workers.get(target.record.name)!;
-      const message = { worker, token: target.fencing.token, agentEpoch: target.agentEpoch };
-      this.sent.push({ ...message, commands });
-      if (this.unreachable.has(worker)) continue;
-      const executed = worker.executeDirect(message.token, message.agentEpoch, commands);
-      if (this.losesAnswers) continue;
-      shard.handleCommandStatus(worker.heartbeat(), this.now);
-      shard.settleDirectStarts(target, starts, executed);
-    }
-  }
-
-  /** Delivers a copy of every direct message that was ever sent. */
-  repeatAll(): void {
-    for (const { worker, token, agentEpoch, commands } of this.sent) {
-      worker.executeDirect(token, agentEpoch, commands);
-    }
-  }
-
-  cancel(): void {
-    this.store.jobs.delete(UID);
-    this.world.cancelledAt.set(UID, this.now);
-  }
-
-  runningTasks(uid: string): number {
-    let count = 0;
-    for (const [task, machines] of this.world.runningOn) {
-      if (task.startsWith(`${uid}/`)) count += machines.size;
-    }
-    return count;
-  }
-
-  get attemptsListed(): number {
-    let count = 0;
-    for (const { tasks } of this.workers.values()) count += tasks.size;
-    return count;
-  }
-
-  saveCompletions(): void {
-    for (const { spec, unsavedCompletions } of this.shard.jobs.values()) {
-      this.shard.markCompletionsSaved(spec.uid, [...unsavedCompletions]);
-    }
-  }
-}
+import { job, LEASE_MS, machine, settings, shardWith, tokensOf } from './helpers.js';
+import { RUN_MS, SCENE_JOB, ShardScene, STEP_MS } from './shard-scene.js';
+import { FakeWorker } from './standins/worker.js';
 
 interface PathCase {
   /** how the attempts end, and what happens then */
   readonly name: string;
   readonly spec?: Partial<JobSpec>;
   readonly runMs?: number;
-  readonly injectFaults: (scene: RepeatingScene) => void;
+  readonly injectFaults: (scene: ShardScene) => void;
 }
 
-const setFailing = (scene: RepeatingScene, fails: boolean): void => {
+const setFailing = (scene: ShardScene, fails: boolean): void => {
   for (const worker of scene.workers.values()) worker.failsTasks = fails;
 };
 
 /** Lets all running tasks fail and their replacements run. */
-const failAndReplace = (scene: RepeatingScene): void => {
+const failAndReplace = (scene: ShardScene): void => {
   for (const worker of scene.workers.values()) worker.failRunningTasks();
   scene.run(4);
 };
 
 /** Lets all running tasks fail, and one of them migrate to a shard with a machine of its own. Returns that shard. */
-const failAndMigrate = (scene: RepeatingScene): Shard => {
+const failAndMigrate = (scene: ShardScene): Shard => {
   for (const worker of scene.workers.values()) worker.failRunningTasks();
   scene.step([scene.shard]);
   const other = new Shard(1, tokensOf(scene.shard.tokens.last + 1), settings());
-  const state = scene.shard.jobs.get(UID)!;
+  const state = scene.shard.jobs.get(SCENE_JOB)!;
   scene.shard.beginMigration(state, 0, 1);
   scene.shard.endMigration(state, true, scene.now);
   scene.store.add(job({}, other.term, 1), machine('d', { shard: 1, term: other.term }));
@@ -173,18 +51,18 @@
     runMs: 30_000,
     injectFaults: (scene) => {
       scene.run(1);
-      assert.equal(scene.runningTasks(UID), 6, 'the machines are full');
+      assert.equal(scene.runningTasks(SCENE_JOB), 6, 'the machines are full');
       scene.store.add(job({ uid: 'job-000002', tasks: 6, priority: 'production' }));
       // Each step has one pass, which preempts one task.
       scene.run(8);
-      assert.equal(scene.runningTasks(UID), 0, 'all tasks were preempted');
+      assert.equal(scene.runningTasks(SCENE_JOB), 0, 'all tasks were preempted');
       assert.equal(scene.runningTasks('job-000002'), 6);
     },
   },
   {
     name: 'the attempts were stopped',
     injectFaults: (scene) => {
-      for (const placement of scene.shard.jobs.get(UID)!.placements.values()) {
+      for (const placement of scene.shard.jobs.get(SCENE_JOB)!.placements.values()) {
         scene.shard.requestStop(placement, 0, scene.now);
       }
       scene.run(4);
@@ -250,37 +128,37 @@
 describe('copies of all direct commands arrive again and again', () => {
   for (const { name, spec, runMs, injectFaults } of PATHS) {
     test(`${name}: no attempt starts again`, () => {
-      const scene = new RepeatingScene({ tasks: 4, ...spec }, runMs);
+      const scene = new ShardScene({ tasks: 4, ...spec }, runMs);
       injectFaults(scene);
       for (let round = 0; round < 15; round++) {
         scene.run(8);
         scene.saveCompletions();
       }
       assert.equal(scene.attemptsListed, 0, 'all attempts are forgotten in the end');
-      if (!scene.world.cancelledAt.has(UID)) {
-        assert.equal(scene.world.completed.get(UID)?.size, spec?.tasks ?? 4);
+      if (!scene.world.cancelledAt.has(SCENE_JOB)) {
+        assert.equal(scene.world.completed.get(SCENE_JOB)?.size, spec?.tasks ?? 4);
       }
     });
   }
 
   test('a failed task migrated to another shard: it does not run on machines of both', () => {
-    const scene = new RepeatingScene({ tasks: 1 });
+    const scene = new ShardScene({ tasks: 1 });
     scene.run(20, [failAndMigrate(scene)]);
-    assert.equal(scene.world.completed.get(UID)?.size, 1);
+    assert.equal(scene.world.completed.get(SCENE_JOB)?.size, 1);
   });
 
   test('a failed task migrated to another shard and was cancelled there: it does not start again', () => {
-    const scene = new RepeatingScene({ tasks: 1 });
+    const scene = new ShardScene({ tasks: 1 });
     const other = failAndMigrate(scene);
     scene.run(3, [other]);
-    assert.equal(scene.runningTasks(UID), 1);
+    assert.equal(scene.runningTasks(SCENE_JOB), 1);
     scene.cancel();
     scene.run(60, [other]);
-    assert.equal(scene.runningTasks(UID), 0);
+    assert.equal(scene.runningTasks(SCENE_JOB), 0);
   });
 
   test('machines moved to another shard: copies of the source start nothing there', () => {
-    const scene = new RepeatingScene({ tasks: 4 });
+    const scene = new ShardScene({ tasks: 4 });
     for (const target of scene.shard.machines.values()) target.cordoned = true;
     for (let second = 0; second < 30; second++) {
       scene.run(1);
@@ -298,7 +176,7 @@
   });
 
   test('a worker lists a running attempt no longer: its task starts elsewhere only once copies are refused', () => {
-    const scene = new RepeatingScene({ tasks: 1 });
+    const scene = new ShardScene({ tasks: 1 });
     const [message] = scene.sent.splice(0);
     const { worker, token, agentEpoch, commands } = message!;
     worker.terminate();
@@ -311,11 +189,11 @@
       assert.ok(!startedElsewhere || worker.fencingToken > token, `at ${scene.now} ms`);
     }
     assert.equal(worker.executeDirect(token, agentEpoch, commands), false);
-    assert.equal(scene.world.completed.get(UID)?.size, 1);
+    assert.equal(scene.world.completed.get(SCENE_JOB)?.size, 1);
   });
 
   test('a machine moves to another shard only once its worker refuses all copies', () => {
-    const scene = new RepeatingScene({ tasks: 4 });
+    const scene = new ShardScene({ tasks: 4 });
     const isReady = (target: MachineState) =>
       toCandidate(scene.shard, target, scene.now).readyToMove;
     for (const target of scene.shard.machines.values()) target.cordoned = true;
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -263,14 +263,7 @@
     const elapsedMs = now - this.#nowMs;
     this.#nowMs = now;
     if (this.hung) return;
-    if (now - this.#leaseStartMs > this.leaseMs) {
-      for (const task of this.tasks.values())
-        if (task.state === 'running') this.#exit(task, 'stopped');
-      this.tasks.clear();
-      this.#startedAttempts.clear();
-      this.agentEpoch += 1;
-      this.#leaseStartMs = now;
-    }
+    if (now - this.#leaseStartMs > this.leaseMs) this.restart(now);
     for (const task of this.tasks.values()) {
       if (task.state !== 'running') continue;
       task.remainingMs -= elapsedMs;
@@ -280,6 +273,14 @@
     }
   }
 
+  /** Ends all tasks and begins the next agent epoch. The counter goes on, and the fencing token is kept. */
+  restart(now: number): void {
+    this.terminate();
+    this.#startedAttempts.clear();
+    this.agentEpoch += 1;
+    this.#leaseStartMs = now;
+  }
+
   /** Lets all running tasks fail. */
   failRunningTasks(): void {
     this.endRunningTasks('error');
