Failing tests: the lease of a new agent epoch is counted from the epoch before

Change: a table of ways in which a shard learns that a worker has begun another agent epoch while no heartbeat of it is answered, and the incident on a whole controller over loopback: heartbeats lost, restart after 4 s, direct starts in the new epoch.

--- /dev/null
+++ b/test/agent-epochs.test.ts
@@ -0,0 +1,156 @@
+/** Machines whose workers begin another agent epoch while no heartbeat of theirs is answered. */
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { JobSpec } from '../src/core/model.js';
+import { job, LEASE_MS, shardWith } from './helpers.js';
+import { SCENE_JOB, ShardScene, STEP_MS } from './shard-scene.js';
+import { Cluster } from './standins/cluster.js';
+import type { FakeWorker } from './standins/worker.js';
+
+const LEASE_STEPS = LEASE_MS / STEP_MS;
+/** Longer than the leases that a case waits for, so that no task completes before. */
+const RUN_MS = 4 * LEASE_MS;
+/** Steps after the last answered heartbeat at which the worker restarts, while the shard still takes it for reachable. */
+const RESTART_STEPS = 5;
+
+/** Returns the worker that runs tasks, whose heartbeats reach no controller from now on. */
+const loseHeartbeats = (scene: ShardScene): FakeWorker => {
+  const worker = [...scene.workers.values()].find(({ tasks }) => tasks.size > 0)!;
+  scene.withoutHeartbeats.add(worker);
+  return worker;
+};
+
+/** Places a further job on the worker's machine, whose starts go there directly. */
+const placeOn = (scene: ShardScene, worker: FakeWorker, uid: string): void => {
+  const others = [...scene.shard.machines.values()].filter(
+    ({ record }) => record.name !== worker.name,
+  );
+  for (const other of others) other.cordoned = true;
+  scene.store.add(job({ uid, tasks: 1 }));
+  scene.run(2);
+  for (const other of others) other.cordoned = false;
+};
+
+/** Lets the worker restart, and the shard learn of it by the answer to a direct start that the worker refuses. */
+const restartAndRefuse = (scene: ShardScene, worker: FakeWorker, uid = 'job-000002'): void => {
+  worker.restart(scene.now);
+  placeOn(scene, worker, uid);
+  assert.ok(worker.tasks.size > 0, 'tasks start directly in the new agent epoch');
+};
+
+interface EpochCase {
+  /** how the shard learns of the new agent epoch */
+  readonly name: string;
+  readonly spec?: Partial<JobSpec>;
+  readonly beginEpoch: (scene: ShardScene, worker: FakeWorker) => void;
+}
+
+const EPOCHS: EpochCase[] = [
+  {
+    name: 'the answer to a refused command',
+    beginEpoch: (scene, worker) => restartAndRefuse(scene, worker),
+  },
+  {
+    name: 'the answer to a refused command, for a gang',
+    spec: { kind: 'gang' },
+    beginEpoch: (scene, worker) => restartAndRefuse(scene, worker),
+  },
+  {
+    name: 'a heartbeat whose answer is lost',
+    beginEpoch: (scene, worker) => {
+      worker.restart(scene.now);
+      scene.shard.handleHeartbeat(worker.heartbeat(), scene.now, true);
+      scene.run(2);
+    },
+  },
+  {
+    name: 'a heartbeat that may not be answered',
+    beginEpoch: (scene, worker) => {
+      worker.restart(scene.now);
+      scene.shard.handleHeartbeat(worker.heartbeat(), scene.now, false, false);
+      scene.run(2);
+    },
+  },
+  {
+    name: "a heartbeat that a command's answer overtook",
+    beginEpoch: (scene, worker) => {
+      worker.restart(scene.now);
+      const heartbeat = worker.heartbeat();
+      placeOn(scene, worker, 'job-000002');
+      scene.shard.handleHeartbeat(heartbeat, scene.now, true);
+    },
+  },
+  {
+    name: 'a late copy of a heartbeat',
+    beginEpoch: (scene, worker) => {
+      worker.restart(scene.now);
+      const heartbeat = worker.heartbeat();
+      scene.run(3);
+      scene.shard.handleHeartbeat(heartbeat, scene.now, true);
+      scene.run(2);
+    },
+  },
+  {
+    name: 'a probe, several agent epochs after the known one expired',
+    beginEpoch: (scene, worker) => {
+      scene.unreachable.add(worker);
+      scene.run(3 * LEASE_STEPS);
+      scene.unreachable.delete(worker);
+      scene.run(2);
+    },
+  },
+  {
+    name: 'the probe of a new owner',
+    beginEpoch: (scene, worker) => {
+      const { address } = scene.shard.machines.get(worker.name)!;
+      worker.restart(scene.now);
+      scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
+      scene.shard.machines.get(worker.name)!.address = address;
+      scene.run(3);
+    },
+  },
+];
+
+describe('a worker without answered heartbeats begins an agent epoch', { concurrency: 4 }, () => {
+  for (const { name, spec, beginEpoch } of EPOCHS) {
+    test(`known by ${name}: no task runs elsewhere before that epoch's own lease has expired`, () => {
+      const scene = new ShardScene({ tasks: 1, ...spec }, RUN_MS);
+      const worker = loseHeartbeats(scene);
+      scene.run(RESTART_STEPS);
+      beginEpoch(scene, worker);
+      scene.run(3 * LEASE_STEPS);
+      scene.withoutHeartbeats.delete(worker);
+      scene.run(2 * (RUN_MS / STEP_MS));
+      if (spec?.kind !== 'service') assert.equal(scene.world.completed.get(SCENE_JOB)?.size, 1);
+    });
+  }
+});
+
+test('a worker restarts while no heartbeat of it arrives at its controller: its new tasks do not run on two machines', async () => {
+  const cluster = new Cluster({
+    controllers: 1,
+    runMs: 120_000,
+    leaseS: 12,
+    cancelS: 26,
+    heartbeatIntervalS: 2.5,
+  });
+  const task = { Vcpus: 2, Cards: 0, MemGb: 1, GuessS: 120 };
+  try {
+    await cluster.open();
+    const first = await cluster.submit('n0', { ...task, Pieces: 12 });
+    await cluster.waitUntil('tasks run', 20, () => cluster.runningTasks(first) === 12);
+    const host = cluster.workerHosts()[0]!;
+    cluster.cloud.holdsReturns = true;
+    host.losesHeartbeats = true;
+    await cluster.runFor(4);
+    host.worker.restart(Date.now());
+    await cluster.cancel('n0', first);
+    const second = await cluster.submit('n0', { ...task, Pieces: 12 });
+    await cluster.waitUntil('tasks run', 5, () => cluster.runningTasks(second) === 12);
+    assert.ok(host.worker.tasks.size > 0, 'tasks start directly in the new agent epoch');
+    await cluster.runFor(16);
+    assert.deepEqual(cluster.world.violations, []);
+  } finally {
+    cluster.close();
+  }
+});
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -33,6 +33,8 @@
   readonly runMs: number | ((index: number) => number);
   /** s after which a worker without an answer to a heartbeat stops its tasks */
   readonly leaseS: number;
+  /** s between heartbeats by which controllers judge silent machines; 0.5 by default. Workers send them more often. */
+  readonly heartbeatIntervalS?: number;
   /** s after a confirmed cancellation within which every task of the job must have stopped */
   readonly cancelS: number;
   /** teams besides `TEAM` */
@@ -121,6 +123,7 @@
       this.storeProxies.set(node, proxy);
     }
     const { runMs, leaseS, cancelS, teams = [], zones = ['z'], storeLimits } = this.options;
+    const { heartbeatIntervalS = 0.5 } = this.options;
     for (const team of teams) if (team.cpusMax > 0) this.world.quotas.set(team.name, team.cpusMax);
     this.cloud = new FakeCloud(this.world, [...listen], runMs, leaseS * 1000, zones);
     this.cloud.host = this.#host;
@@ -148,7 +151,7 @@
         zones,
         teams: new Map([TEAM, ...teams].map((t) => [t.name, t])),
         objectives: [],
-        workers: { heartbeatIntervalS: 0.5, leaseS, gangWaitS: 10, gangPeerS: 2, cancelS },
+        workers: { heartbeatIntervalS, leaseS, gangWaitS: 10, gangPeerS: 2, cancelS },
         storeLimits: storeLimits ?? PRODUCTION_LIMITS,
         cloudLimits: { rps: 60, listLagS: 0.2 },
         sockets: 1000,
