The lease of an agent epoch is counted from what is known of that epoch

Cause: a clock that belonged to one agent epoch was read as that of the next. Evidence: 27.59 s (last answer) + 18 s * 1.0005 + 1 s = 46.6 s, and the second start came at 47.46; the worker ended its tasks at 52.66 s, 18 s after the restart. Change: AgentEpoch holds the number of an epoch and the latest time from which its lease can run. A task list with a later epoch makes a new one, dated by its receipt; only answers to that epoch's own heartbeats, and the confirmation of the term, move it. The evidence lease-expired is made from it alone, so an epoch without a bound of its own can't expire. direct-commands no longer raises the epoch without a task list (it had an effect only for machines that the shard no longer has). Why it works: a worker sends a task list after its epoch has begun, so its lease runs from no later than the receipt, or the shard's last answer.

--- a/src/core/reachability/machine-health.ts
+++ b/src/core/reachability/machine-health.ts
@@ -56,7 +56,7 @@
   needsProbe(machine: MachineState): boolean {
     if (machine.terminating) return false;
     if (machine.commandsLostSince !== null) return true;
-    const hasBooted = machine.agentEpoch > 0 || this.mayHoldInheritedTasks(machine);
+    const hasBooted = machine.epoch !== null || this.mayHoldInheritedTasks(machine);
     return machine.confirmedSince === null && hasBooted;
   }
 
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -1,6 +1,7 @@
 /** Reconciles the state of a shard with the task lists that its workers report. */
 import type { Heartbeat, JobSpec, ReportedTask } from '../model.js';
 import { FailureTracker } from '../reachability/failure-tracker.js';
+import { AgentEpoch, knownAgentEpoch } from './agent-epoch.js';
 import { LOST_COMMANDS_LIMIT, NO_ROOM_BACKOFF_MS } from './constants.js';
 import { InertAttempt } from './inert-attempt.js';
 import { attemptKey, placementKey, taskKey } from './placements.js';
@@ -30,10 +31,11 @@
   ): void {
     const epochEnded = InertAttempt.epochEnded(machine, heartbeat);
     if (epochEnded !== null) this.#endAgentEpoch(machine, now, epochEnded);
+    const epoch = currentEpoch(machine, heartbeat, now);
     recordStatus(machine, heartbeat, now);
     const complete = heartbeat.fencingToken >= this.state.term;
     if (complete) {
-      confirmTerm(machine, now);
+      confirmTerm(machine, epoch, now);
       this.#confirmToken(machine, heartbeat.fencingToken);
     }
     if (source === 'command') recordCommandArrived(machine);
@@ -47,9 +49,11 @@
   #endAgentEpoch(machine: MachineState, now: number, evidence: InertAttempt<'epoch-ended'>): void {
     const { leaseMs } = this.state.settings;
     // If the lease expired although this shard answered all heartbeats, the answers do not arrive.
-    const { confirmedSince } = machine;
-    const answered = confirmedSince !== null && now - machine.leaseRenewedAt < leaseMs / 2;
-    if (answered && now - confirmedSince > leaseMs) this.#recordLostCommand(machine, now);
+    const { confirmedSince, epoch } = machine;
+    const answered = epoch !== null && now - epoch.answeredAt < leaseMs / 2;
+    if (answered && confirmedSince !== null && now - confirmedSince > leaseMs) {
+      this.#recordLostCommand(machine, now);
+    }
     for (const placement of [...machine.tasks.values()]) {
       this.state.release(placement, now, evidence);
     }
@@ -119,13 +123,13 @@
   /** Records a running attempt that ended before, when its worker lists it for the first time. */
   #recordIfUnexpected(machine: MachineState, { uid, index, attempt }: ReportedTask): void {
     if (machine.unknownTasksSince !== null || !this.state.isOwnAttempt(attempt)) return;
-    const { agentEpoch, fencing, record } = machine;
+    const { fencing, record } = machine;
     this.state.unexpectedAttempts.push({
       uid,
       index,
       attempt,
       machine: record.name,
-      agentEpoch,
+      agentEpoch: knownAgentEpoch(machine),
       fencingToken: fencing.token,
     });
   }
@@ -246,9 +250,18 @@
   return count;
 };
 
+/** Returns the epoch of a task list that is not outdated, which is a new one if its number is. */
+const currentEpoch = (
+  machine: MachineState,
+  { agentEpoch }: Heartbeat,
+  now: number,
+): AgentEpoch => {
+  if (machine.epoch?.number !== agentEpoch) machine.epoch = new AgentEpoch(agentEpoch, now);
+  return machine.epoch;
+};
+
 /** Records the counter, the time and the sender's address of a task list, and a preemption notice in it. */
 const recordStatus = (machine: MachineState, heartbeat: Heartbeat, now: number): void => {
-  machine.agentEpoch = heartbeat.agentEpoch;
   machine.lastStatusCounter = heartbeat.counter;
   machine.address = heartbeat.address;
   machine.reportedTaskCount = heartbeat.tasks.length;
@@ -260,10 +273,10 @@
 };
 
 /** Records that the worker has confirmed this shard's term. */
-const confirmTerm = (machine: MachineState, now: number): void => {
+const confirmTerm = (machine: MachineState, epoch: AgentEpoch, now: number): void => {
   if (machine.confirmedSince === null) {
     // Earlier owners can have renewed the worker's lease only before it saw this shard's fencing token.
-    machine.leaseRenewedAt = Math.max(machine.leaseRenewedAt, now);
+    epoch.extendLease(now);
     machine.confirmedSince = now;
   }
   machine.hasConfirmedTerm = true;
--- a/src/core/shard/inert-attempt.ts
+++ b/src/core/shard/inert-attempt.ts
@@ -47,22 +47,22 @@
     return fencing.isExecutable(placementKey(placement)) ? null : new InertAttempt('unlisted');
   }
 
-  /** Returns evidence if the worker's lease has expired, given the longest time for which it can last. */
+  /** Returns evidence if the lease of the worker's known epoch has expired, given the longest time it can last. */
   static leaseExpired(
-    { confirmedSince, leaseRenewedAt }: MachineState,
+    { confirmedSince, epoch }: MachineState,
     now: number,
     longestLeaseMs: number,
   ): InertAttempt<'lease-expired'> | null {
-    const expired = confirmedSince !== null && now - leaseRenewedAt > longestLeaseMs;
-    return expired ? new InertAttempt('lease-expired') : null;
+    if (confirmedSince === null || epoch === null) return null;
+    return epoch.hasLeaseExpired(now, longestLeaseMs) ? new InertAttempt('lease-expired') : null;
   }
 
   /** Returns evidence if a task list shows that the worker's known agent epoch has ended. */
   static epochEnded(
-    { agentEpoch }: MachineState,
+    { epoch }: MachineState,
     heartbeat: Heartbeat,
   ): InertAttempt<'epoch-ended'> | null {
-    const ended = agentEpoch > 0 && heartbeat.agentEpoch > agentEpoch;
+    const ended = epoch !== null && heartbeat.agentEpoch > epoch.number;
     return ended ? new InertAttempt('epoch-ended') : null;
   }
 
--- a/src/core/shard/lease-expiry.ts
+++ b/src/core/shard/lease-expiry.ts
@@ -1,5 +1,6 @@
 /** Timeouts of a shard: leases, unsent starts and reservations. */
 import { MAX_RELATIVE_CLOCK_DRIFT } from '../../constants.js';
+import { knownAgentEpoch } from './agent-epoch.js';
 import { UNDISPATCHED_START_TIMEOUT_MS, WORKER_LEASE_MARGIN_MS } from './constants.js';
 import { InertAttempt } from './inert-attempt.js';
 import type { ShardState } from './shard-state.js';
@@ -32,7 +33,8 @@
 
 /**
  * Releases all tasks of a machine whose lease has expired. Under this shard's term only this shard's answers renew the
- * lease, and the last one is too old, so the worker has killed its tasks, whether or not it is reachable.
+ * lease, and the last one is too old, so the worker has killed its tasks, whether or not it is reachable. Its later
+ * agent epochs have no tasks until it has confirmed the term anew.
  */
 const endLease = (
   state: ShardState,
@@ -41,6 +43,6 @@
   evidence: InertAttempt<'lease-expired'>,
 ): void => {
   machine.confirmedSince = null;
-  machine.minimumAgentEpoch = machine.agentEpoch + 1;
+  machine.minimumAgentEpoch = knownAgentEpoch(machine) + 1;
   for (const placement of [...machine.tasks.values()]) state.release(placement, now, evidence);
 };
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -7,6 +7,7 @@
 import { Quotas } from '../placement/quotas.js';
 import { Scheduler } from '../placement/scheduler.js';
 import { Preemption } from '../preemption/preemption.js';
+import { knownAgentEpoch } from './agent-epoch.js';
 import { CommandPlanner } from './command-planner.js';
 import { HeartbeatReconciler } from './heartbeat-reconciler.js';
 import { expireLeases } from './lease-expiry.js';
@@ -128,12 +129,12 @@
       // The worker's answer to a direct command overtook this heartbeat. Without an answer the worker would lose its
       // lease, and an answer without commands does no harm.
       if (!mayRenew) return { kind: 'unanswered' };
-      machine.leaseRenewedAt = now;
+      machine.epoch?.recordAnswer(now);
       return { kind: 'answer', fencingToken: machine.fencing.token, commands: [] };
     }
     this.#reconciler.reconcile(machine, heartbeat, now);
     if (!mayRenew && mayHaveLiveTasks(machine, heartbeat)) return { kind: 'unanswered' };
-    machine.leaseRenewedAt = now;
+    machine.epoch?.recordAnswer(now);
     if (heartbeat.fencingToken < this.state.term) {
       // Commands of an earlier term may still reach this worker, so its task list is not complete yet. This answer
       // raises the worker's fencing token, and the list in its next heartbeat is complete.
@@ -320,13 +321,13 @@
  * may arrive; they contain nothing new, and the worker no longer waits for an answer to them.
  */
 const isOutdated = (machine: MachineState, { agentEpoch, counter }: Heartbeat): boolean =>
-  agentEpoch < Math.max(machine.agentEpoch, machine.minimumAgentEpoch) ||
-  (agentEpoch === machine.agentEpoch && counter <= machine.lastHeartbeatCounter);
+  agentEpoch < Math.max(knownAgentEpoch(machine), machine.minimumAgentEpoch) ||
+  (agentEpoch === knownAgentEpoch(machine) && counter <= machine.lastHeartbeatCounter);
 
 /** Whether a task list is newer than the newest one that was applied. */
 const isNewerStatus = (machine: MachineState, { agentEpoch, counter }: Heartbeat): boolean =>
-  agentEpoch > machine.agentEpoch ||
-  (agentEpoch === machine.agentEpoch && counter > machine.lastStatusCounter);
+  agentEpoch > knownAgentEpoch(machine) ||
+  (agentEpoch === knownAgentEpoch(machine) && counter > machine.lastStatusCounter);
 
 /**
  * Whether tasks may run on the machine. If none can, the lease is renewed even when `mayRenew` is false, since nothing
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -16,6 +16,7 @@
 } from '../model.js';
 import type { TaskQueue } from '../jobs/task-queue.js';
 import type { ResourceSum } from '../resource-sum.js';
+import type { AgentEpoch } from './agent-epoch.js';
 import type { DirectStart, StartFencing } from './start-fencing.js';
 
 /** Task numbers of one job, iterated in ascending order. */
@@ -119,8 +120,8 @@
 export interface AgentContact {
   /** where the worker takes direct commands; null before its first message */
   address: string | null;
-  /** number of the present life of the worker process, whose tasks end with it; 0 before its first message */
-  agentEpoch: number;
+  /** the newest agent epoch that a task list has shown; null before the worker's first message */
+  epoch: AgentEpoch | null;
   /** agent epochs below this have ended by the expiry of their lease */
   minimumAgentEpoch: number;
   /** counter of the newest task list, whether a heartbeat or the answer to a direct command */
@@ -131,8 +132,6 @@
   lastHeartbeatCounter: number;
   /** time at which that heartbeat was received */
   lastHeartbeatAt: number;
-  /** time of the newest answer to a heartbeat */
-  leaseRenewedAt: number;
 }
 
 /** Inputs from which `MachineHealth` derives the reachability of a machine. */
--- a/src/shards/direct-commands.ts
+++ b/src/shards/direct-commands.ts
@@ -10,6 +10,9 @@
 import { PROBE_PAUSE_MS } from './constants.js';
 import type { OwnedShard } from './owned-shard.js';
 
+/** The agent epoch that a worker is taken to have before its first message. */
+const FIRST_AGENT_EPOCH = 1;
+
 /** Maximum number of attempts to send a message to a worker that refuses its agent epoch or its fencing token. */
 const MAX_ATTEMPTS = 2;
 
@@ -89,8 +92,9 @@
 
   async #send(owned: OwnedShard, message: Message): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const { fencing, agentEpoch } = message.machine;
-      const envelope = { fencingToken: fencing.token, agentEpoch: Math.max(1, agentEpoch) };
+      const { fencing, epoch } = message.machine;
+      const agentEpoch = epoch?.number ?? FIRST_AGENT_EPOCH;
+      const envelope = { fencingToken: fencing.token, agentEpoch };
       const result = await this.#sendOnce(message, envelope);
       const retry = this.#handleResult(owned, message, envelope, result);
       if (!retry) return;
@@ -131,8 +135,7 @@
     shard.handleCommandStatus(heartbeat, this.dependencies.now());
     shard.settleDirectStarts(machine, starts, executed);
     if (executed || starts.length > 0 || heartbeat.fencingToken > shard.tokens.last) return false;
-    // The worker answered 409 because it knows a later agent epoch or token, which its heartbeat states.
-    machine.agentEpoch = Math.max(machine.agentEpoch, heartbeat.agentEpoch);
+    // The worker answered 409 because it knows a later agent epoch or token, which its task list stated.
     return (
       heartbeat.agentEpoch !== envelope.agentEpoch || machine.fencing.token > envelope.fencingToken
     );
--- a/test/agent-epochs.test.ts
+++ b/test/agent-epochs.test.ts
@@ -55,6 +55,19 @@
     spec: { kind: 'gang' },
     beginEpoch: (scene, worker) => restartAndRefuse(scene, worker),
   },
+  {
+    name: 'the answer to a refused command, for replicas of a service',
+    spec: { kind: 'service' },
+    beginEpoch: (scene, worker) => restartAndRefuse(scene, worker),
+  },
+  {
+    name: 'the answer to a refused command, twice',
+    beginEpoch: (scene, worker) => {
+      restartAndRefuse(scene, worker);
+      scene.store.jobs.delete('job-000002');
+      restartAndRefuse(scene, worker, 'job-000003');
+    },
+  },
   {
     name: 'a heartbeat whose answer is lost',
     beginEpoch: (scene, worker) => {
--- a/test/machine-faults.test.ts
+++ b/test/machine-faults.test.ts
@@ -120,10 +120,10 @@
     const jobState = shard.jobs.get('job-000001');
     return {
       machine: machineState && [
-        machineState.agentEpoch,
+        machineState.epoch?.number,
         machineState.lastStatusCounter,
         machineState.lastStatusAt,
-        machineState.leaseRenewedAt,
+        machineState.epoch?.leaseRunsFrom,
         machineState.confirmedSince,
         machineState.unknownTaskCount,
       ],
--- a/test/random.test.ts
+++ b/test/random.test.ts
@@ -192,7 +192,7 @@
     for (const { machine: machineState, commands, starts } of shard.directCommands(now)) {
       const worker = workers.get(machineState.record.name);
       if (worker === undefined) continue;
-      const { agentEpoch } = machineState;
+      const agentEpoch = machineState.epoch!.number;
       const { token } = machineState.fencing;
       if (chance(30)) {
         // No answer: the commands are carried out later, twice, or never.
--- a/test/shard-scene.ts
+++ b/test/shard-scene.ts
@@ -105,7 +105,7 @@
   #sendDirectly(shard: Shard, target: MachineState, commands: readonly Command[]): boolean | null {
     const worker = this.workers.get(target.record.name)!;
     const token = target.fencing.token;
-    const agentEpoch = Math.max(1, target.agentEpoch);
+    const agentEpoch = target.epoch?.number ?? 1;
     if (commands.length > 0) this.sent.push({ worker, token, agentEpoch, commands });
     if (this.unreachable.has(worker)) return null;
     const executed = worker.executeDirect(token, agentEpoch, commands);
