Counters of messages belong to an agent epoch

A worker whose count begins anew with each epoch (the protocol orders messages by epoch, then counter) got no answer to its heartbeats until its counter had passed that of the epoch before, and lost its tasks at the lease's end. When the answer to a command told of a new epoch, the counter of the newest heartbeat stayed that of the old one, so the new epoch's heartbeats counted as old copies. Change: both counters are fields of AgentEpoch and begin with it.

--- a/src/core/shard/agent-epoch.ts
+++ b/src/core/shard/agent-epoch.ts
@@ -1,11 +1,15 @@
 /**
- * One life of a worker process. Its tasks end with it, at the latest when its lease expires. The lease belongs to the
- * epoch: answers to an earlier epoch's heartbeats say nothing about when this epoch ends.
+ * One life of a worker process. Its tasks end with it, at the latest when its lease expires. The lease and the counters
+ * of messages belong to the epoch: what is known of an earlier epoch says nothing about this one.
  */
 import type { AgentContact } from './types.js';
 
-/** An agent epoch that a task list has shown, and the latest time from which its lease can run. */
+/** An agent epoch that a task list has shown, its newest messages, and the latest time from which its lease can run. */
 export class AgentEpoch {
+  /** counter of the newest task list, whether a heartbeat or the answer to a direct command */
+  lastStatusCounter = -1;
+  /** counter of the newest heartbeat; only answers to heartbeats renew the lease */
+  lastHeartbeatCounter = -1;
   #leaseRunsFrom: number;
   #answeredAt = -Infinity;
 
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -32,6 +32,8 @@
     const epochEnded = InertAttempt.epochEnded(machine, heartbeat);
     if (epochEnded !== null) this.#endAgentEpoch(machine, now, epochEnded);
     const epoch = currentEpoch(machine, heartbeat, now);
+    epoch.lastStatusCounter = heartbeat.counter;
+    if (source === 'heartbeat') epoch.lastHeartbeatCounter = heartbeat.counter;
     recordStatus(machine, heartbeat, now);
     const complete = heartbeat.fencingToken >= this.state.term;
     if (complete) {
@@ -260,9 +262,8 @@
   return machine.epoch;
 };
 
-/** Records the counter, the time and the sender's address of a task list, and a preemption notice in it. */
+/** Records the time and the sender's address of a task list, and a preemption notice in it. */
 const recordStatus = (machine: MachineState, heartbeat: Heartbeat, now: number): void => {
-  machine.lastStatusCounter = heartbeat.counter;
   machine.address = heartbeat.address;
   machine.reportedTaskCount = heartbeat.tasks.length;
   machine.endedTaskCount = countEnded(heartbeat.tasks);
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -7,7 +7,7 @@
 import { Quotas } from '../placement/quotas.js';
 import { Scheduler } from '../placement/scheduler.js';
 import { Preemption } from '../preemption/preemption.js';
-import { knownAgentEpoch } from './agent-epoch.js';
+import { knownAgentEpoch, type AgentEpoch } from './agent-epoch.js';
 import { CommandPlanner } from './command-planner.js';
 import { HeartbeatReconciler } from './heartbeat-reconciler.js';
 import { expireLeases } from './lease-expiry.js';
@@ -123,13 +123,14 @@
     if (machine === undefined) return { kind: 'unknown' };
     if (heartbeat.fencingToken > this.tokens.last) return { kind: 'superseded' };
     if (isOutdated(machine, heartbeat)) return { kind: 'old' };
-    machine.lastHeartbeatCounter = heartbeat.counter;
     machine.lastHeartbeatAt = now;
-    if (!isNewerStatus(machine, heartbeat)) {
+    const { epoch } = machine;
+    if (epoch !== null && !isNewerStatus(epoch, heartbeat)) {
+      epoch.lastHeartbeatCounter = heartbeat.counter;
       // The worker's answer to a direct command overtook this heartbeat. Without an answer the worker would lose its
       // lease, and an answer without commands does no harm.
       if (!mayRenew) return { kind: 'unanswered' };
-      machine.epoch?.recordAnswer(now);
+      epoch.recordAnswer(now);
       return { kind: 'answer', fencingToken: machine.fencing.token, commands: [] };
     }
     this.#reconciler.reconcile(machine, heartbeat, now);
@@ -151,7 +152,7 @@
     const machine = this.state.machines.get(heartbeat.machine);
     if (machine === undefined || heartbeat.fencingToken > this.tokens.last) return;
     if (heartbeat.agentEpoch < machine.minimumAgentEpoch) return;
-    if (isNewerStatus(machine, heartbeat)) {
+    if (machine.epoch === null || isNewerStatus(machine.epoch, heartbeat)) {
       this.#reconciler.reconcile(machine, heartbeat, now, 'command');
     }
   }
@@ -320,14 +321,15 @@
  * Whether a heartbeat is not newer than the newest one. After a partition, delayed packets and copies of heartbeats
  * may arrive; they contain nothing new, and the worker no longer waits for an answer to them.
  */
-const isOutdated = (machine: MachineState, { agentEpoch, counter }: Heartbeat): boolean =>
-  agentEpoch < Math.max(knownAgentEpoch(machine), machine.minimumAgentEpoch) ||
-  (agentEpoch === knownAgentEpoch(machine) && counter <= machine.lastHeartbeatCounter);
-
-/** Whether a task list is newer than the newest one that was applied. */
-const isNewerStatus = (machine: MachineState, { agentEpoch, counter }: Heartbeat): boolean =>
-  agentEpoch > knownAgentEpoch(machine) ||
-  (agentEpoch === knownAgentEpoch(machine) && counter > machine.lastStatusCounter);
+const isOutdated = (machine: MachineState, { agentEpoch, counter }: Heartbeat): boolean => {
+  const { epoch, minimumAgentEpoch } = machine;
+  if (agentEpoch < Math.max(knownAgentEpoch(machine), minimumAgentEpoch)) return true;
+  return epoch?.number === agentEpoch && counter <= epoch.lastHeartbeatCounter;
+};
+
+/** Whether a task list is newer than the newest one that was applied, which belongs to this epoch. */
+const isNewerStatus = (epoch: AgentEpoch, { agentEpoch, counter }: Heartbeat): boolean =>
+  agentEpoch > epoch.number || (agentEpoch === epoch.number && counter > epoch.lastStatusCounter);
 
 /**
  * Whether tasks may run on the machine. If none can, the lease is renewed even when `mayRenew` is false, since nothing
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -124,13 +124,9 @@
   epoch: AgentEpoch | null;
   /** agent epochs below this have ended by the expiry of their lease */
   minimumAgentEpoch: number;
-  /** counter of the newest task list, whether a heartbeat or the answer to a direct command */
-  lastStatusCounter: number;
-  /** time at which that task list was received */
+  /** time at which the newest task list was received, whether a heartbeat or the answer to a direct command */
   lastStatusAt: number;
-  /** counter of the newest heartbeat; only answers to heartbeats renew the worker's lease */
-  lastHeartbeatCounter: number;
-  /** time at which that heartbeat was received */
+  /** time at which the newest heartbeat was received */
   lastHeartbeatAt: number;
 }
 
--- a/test/agent-epochs.test.ts
+++ b/test/agent-epochs.test.ts
@@ -38,6 +38,14 @@
   assert.ok(worker.tasks.size > 0, 'tasks start directly in the new agent epoch');
 };
 
+/** Lets a new owner take the shard over, which probes the worker. */
+const takeOver = (scene: ShardScene, worker: FakeWorker): void => {
+  const { address } = scene.shard.machines.get(worker.name)!;
+  scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
+  scene.shard.machines.get(worker.name)!.address = address;
+  scene.run(3);
+};
+
 interface EpochCase {
   /** how the shard learns of the new agent epoch */
   readonly name: string;
@@ -68,6 +76,23 @@
       restartAndRefuse(scene, worker, 'job-000003');
     },
   },
+  {
+    name: 'the answer to a refused command, with heartbeats that may not be answered',
+    beginEpoch: (scene, worker) => {
+      restartAndRefuse(scene, worker);
+      for (let second = 0; second < 5; second++) {
+        scene.shard.handleHeartbeat(worker.heartbeat(), scene.now, false, false);
+        scene.run(1);
+      }
+    },
+  },
+  {
+    name: 'the answer to a refused command, before a new owner adopts the tasks',
+    beginEpoch: (scene, worker) => {
+      restartAndRefuse(scene, worker);
+      takeOver(scene, worker);
+    },
+  },
   {
     name: 'a heartbeat whose answer is lost',
     beginEpoch: (scene, worker) => {
@@ -115,11 +140,8 @@
   {
     name: 'the probe of a new owner',
     beginEpoch: (scene, worker) => {
-      const { address } = scene.shard.machines.get(worker.name)!;
       worker.restart(scene.now);
-      scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
-      scene.shard.machines.get(worker.name)!.address = address;
-      scene.run(3);
+      takeOver(scene, worker);
     },
   },
 ];
@@ -139,6 +161,18 @@
   }
 });
 
+test("a restarted worker counts its messages anew, known by a command's answer: its heartbeats are answered", () => {
+  const scene = new ShardScene({ tasks: 1 }, RUN_MS);
+  scene.run(20);
+  const worker = loseHeartbeats(scene);
+  worker.counter = 0;
+  restartAndRefuse(scene, worker);
+  scene.withoutHeartbeats.delete(worker);
+  const { agentEpoch } = worker;
+  scene.run(2 * LEASE_STEPS);
+  assert.equal(worker.agentEpoch, agentEpoch, 'its lease is renewed');
+});
+
 test('a worker restarts while no heartbeat of it arrives at its controller: its new tasks do not run on two machines', async () => {
   const cluster = new Cluster({
     controllers: 1,
--- a/test/machine-faults.test.ts
+++ b/test/machine-faults.test.ts
@@ -121,7 +121,7 @@
     return {
       machine: machineState && [
         machineState.epoch?.number,
-        machineState.lastStatusCounter,
+        machineState.epoch?.lastStatusCounter,
         machineState.lastStatusAt,
         machineState.epoch?.leaseRunsFrom,
         machineState.confirmedSince,
