Log lines: new agent epochs, expired worker leases, starts on machines without heartbeats

Task changes are logged at debug only. Change: the lines agent epoch began, worker lease expired, tasks started without heartbeats, with epoch, token, number of tasks and the age of the newest heartbeat. One line for a restart, an expired lease, and for each epoch with such starts, so their rate is that of machines that fail. A shard's events are logged by a module of their own. A test shows the three events in this order.

--- a/src/core/reachability/machine-health.ts
+++ b/src/core/reachability/machine-health.ts
@@ -74,9 +74,22 @@
     );
   }
 
-  /** Whether heartbeats are overdue. The worker's lease then ends with all its tasks, even if it answers commands. */
-  #sendsNoHeartbeats({ lastHeartbeatAt, trackedSince }: MachineState, now: number): boolean {
-    const limitMs = this.settings.heartbeatIntervalMs * HEARTBEATS_LOST_INTERVALS;
+  /** Whether a heartbeat should have arrived by now, although the machine may still get tasks. */
+  heartbeatsOverdue(machine: MachineState, now: number): boolean {
+    return this.#lacksHeartbeats(machine, now, STALE_HEARTBEAT_INTERVALS);
+  }
+
+  /** Whether no heartbeat has come for long. The worker's lease then ends with all its tasks, even if it answers commands. */
+  #sendsNoHeartbeats(machine: MachineState, now: number): boolean {
+    return this.#lacksHeartbeats(machine, now, HEARTBEATS_LOST_INTERVALS);
+  }
+
+  #lacksHeartbeats(
+    { lastHeartbeatAt, trackedSince }: MachineState,
+    now: number,
+    intervals: number,
+  ): boolean {
+    const limitMs = this.settings.heartbeatIntervalMs * intervals;
     return now - Math.max(lastHeartbeatAt, trackedSince) > limitMs;
   }
 
--- a/src/core/shard/agent-epoch.ts
+++ b/src/core/shard/agent-epoch.ts
@@ -10,6 +10,8 @@
   lastStatusCounter = -1;
   /** counter of the newest heartbeat; only answers to heartbeats renew the lease */
   lastHeartbeatCounter = -1;
+  /** whether tasks were started directly while heartbeats were overdue, which is logged once */
+  hadSilentStart = false;
   #leaseRunsFrom: number;
   #answeredAt = -Infinity;
 
--- a/src/core/shard/command-planner.ts
+++ b/src/core/shard/command-planner.ts
@@ -2,6 +2,7 @@
 import type { Command, Heartbeat, ReportedTask } from '../model.js';
 import { MAX_DIRECT_COMMANDS_PER_ROUND, STOP_OVERDUE_MARGIN_S } from './constants.js';
 import { CommandMessage } from './command-message.js';
+import { machineEvent } from './machine-events.js';
 import { isUndispatched, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
 import type { DirectStart } from './start-fencing.js';
@@ -75,11 +76,21 @@
       if (!this.state.health.isFresh(machine, now)) continue;
       const batch = directCommandsOf(machine, now, mayStart);
       if (batch.commands.length > 0) batches.push(batch);
+      if (batch.starts.length > 0) this.#recordSilentStart(machine, batch.starts.length, now);
       commandCount += batch.commands.length;
     }
     return batches;
   }
 
+  /** Records starts on a machine whose heartbeats are overdue, once for each agent epoch. */
+  #recordSilentStart(machine: MachineState, tasks: number, now: number): void {
+    const { epoch } = machine;
+    if (epoch === null || epoch.hadSilentStart) return;
+    if (!this.state.health.heartbeatsOverdue(machine, now)) return;
+    epoch.hadSilentStart = true;
+    this.state.machineEvents.push(machineEvent('silent-start', machine, now, { tasks }));
+  }
+
   /** Records that direct starts to a machine were executed, or that they never will be. */
   settleDirectStarts(
     machine: MachineState,
--- a/src/core/shard/heartbeat-reconciler.ts
+++ b/src/core/shard/heartbeat-reconciler.ts
@@ -4,6 +4,7 @@
 import { AgentEpoch, knownAgentEpoch } from './agent-epoch.js';
 import { LOST_COMMANDS_LIMIT, NO_ROOM_BACKOFF_MS } from './constants.js';
 import { InertAttempt } from './inert-attempt.js';
+import { machineEvent } from './machine-events.js';
 import { attemptKey, placementKey, taskKey } from './placements.js';
 import type { ShardState } from './shard-state.js';
 import type { JobState, MachineState, Placement } from './types.js';
@@ -30,8 +31,13 @@
     source: StatusSource = 'heartbeat',
   ): void {
     const epochEnded = InertAttempt.epochEnded(machine, heartbeat);
+    const endedTasks = machine.tasks.size;
     if (epochEnded !== null) this.#endAgentEpoch(machine, now, epochEnded);
     const epoch = currentEpoch(machine, heartbeat, now);
+    if (epochEnded !== null) {
+      const details = { tasks: endedTasks, learnedBy: source };
+      this.state.machineEvents.push(machineEvent('epoch-began', machine, now, details));
+    }
     epoch.lastStatusCounter = heartbeat.counter;
     if (source === 'heartbeat') epoch.lastHeartbeatCounter = heartbeat.counter;
     recordStatus(machine, heartbeat, now);
--- a/src/core/shard/lease-expiry.ts
+++ b/src/core/shard/lease-expiry.ts
@@ -3,6 +3,7 @@
 import { knownAgentEpoch } from './agent-epoch.js';
 import { UNDISPATCHED_START_TIMEOUT_MS, WORKER_LEASE_MARGIN_MS } from './constants.js';
 import { InertAttempt } from './inert-attempt.js';
+import { machineEvent } from './machine-events.js';
 import type { ShardState } from './shard-state.js';
 import type { MachineState } from './types.js';
 
@@ -42,6 +43,8 @@
   now: number,
   evidence: InertAttempt<'lease-expired'>,
 ): void => {
+  const tasks = machine.tasks.size;
+  state.machineEvents.push(machineEvent('lease-expired', machine, now, { tasks }));
   machine.confirmedSince = null;
   machine.minimumAgentEpoch = knownAgentEpoch(machine) + 1;
   for (const placement of [...machine.tasks.values()]) state.release(placement, now, evidence);
--- a/src/core/shard/shard-state.ts
+++ b/src/core/shard/shard-state.ts
@@ -5,6 +5,7 @@
 import { largestCapacity, type Resources, type TaskState } from '../model.js';
 import { MachineHealth } from '../reachability/machine-health.js';
 import { ATTEMPTS_PER_TERM } from './constants.js';
+import type { MachineEvent } from './machine-events.js';
 import { PlacementIndex } from './placement-index.js';
 import { InertAttempt } from './inert-attempt.js';
 import type { TokenRange } from './start-fencing.js';
@@ -28,6 +29,8 @@
   readonly events: TaskEvent[] = [];
   /** attempts that ended and run again, which have not been logged yet */
   readonly unexpectedAttempts: UnexpectedAttempt[] = [];
+  /** events of machines that have not been logged yet */
+  readonly machineEvents: MachineEvent[] = [];
   /** run times of completed tasks that have not been added to the estimates yet */
   readonly finishedRuns: FinishedRun[] = [];
   /** machines that are proven gone, but whose record may not be deleted yet */
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -11,6 +11,7 @@
 import { CommandPlanner } from './command-planner.js';
 import { HeartbeatReconciler } from './heartbeat-reconciler.js';
 import { expireLeases } from './lease-expiry.js';
+import type { MachineEvent } from './machine-events.js';
 import { beginMigration, endMigration, migratableTasks } from './range-migration.js';
 import * as queries from './shard-queries.js';
 import { ShardState } from './shard-state.js';
@@ -243,6 +244,11 @@
     return this.state.unexpectedAttempts;
   }
 
+  /** Events of machines that have not been logged yet; the caller removes those that it has logged. */
+  get machineEvents(): MachineEvent[] {
+    return this.state.machineEvents;
+  }
+
   /** Run times of completed tasks; the caller removes those that it has added to its estimates. */
   get finishedRuns(): FinishedRun[] {
     return this.state.finishedRuns;
--- a/src/service/control-loops.ts
+++ b/src/service/control-loops.ts
@@ -12,6 +12,7 @@
 import type { SingletonControllers } from '../singletons/singleton-controllers.js';
 import type { NodeContext } from './node-context.js';
 import type { OptionalFeatures } from './optional-features.js';
+import { logShardEvents } from './shard-event-log.js';
 import type { PeerExchange } from './peer-exchange.js';
 import type { StoreAccess } from './store-access.js';
 import type { HeartbeatResponse } from '../workers/heartbeat-routes.js';
@@ -110,7 +111,7 @@
     this.#scaleIn.markRecordedReturns();
     this.#shardMover?.tick();
     shardController.tick();
-    this.#drainTaskEvents();
+    this.#drainEvents();
     this.#scaleIn.markRecordedReturns();
     this.#orphanedInstances.tick();
     this.#scaleOut.tick();
@@ -141,21 +142,12 @@
     }
   }
 
-  /** Moves the run times of finished tasks to the workload statistics, and task events to the log. */
-  #drainTaskEvents(): void {
+  /** Moves the run times of finished tasks to the workload statistics, and the shards' events to the log. */
+  #drainEvents(): void {
     const { context, shardController, workload } = this.dependencies;
-    for (const [index, { shard }] of shardController.owned) {
-      for (const { uid, ...attempt } of shard.unexpectedAttempts.splice(0)) {
-        const fields = { job: uid, shard: index, term: shard.term, ...attempt };
-        context.log.error(fields, 'ended attempt runs again');
-      }
+    for (const { shard } of shardController.owned.values()) {
       for (const run of shard.finishedRuns.splice(0)) workload.recordRun(run.jobClass, run.runS);
-      const events = shard.events.splice(0);
-      // A pass may place as many tasks as the largest job has.
-      if (!context.log.isLevelEnabled('debug')) continue;
-      for (const { uid, ...event } of events) {
-        context.log.debug({ job: uid, shard: index, term: shard.term, ...event }, 'task changed');
-      }
+      logShardEvents(shard, context.log);
     }
   }
 }
--- a/test/agent-epochs.test.ts
+++ b/test/agent-epochs.test.ts
@@ -161,6 +161,25 @@
   }
 });
 
+test('each step of a worker that restarts without heartbeats is an event for the log', () => {
+  const scene = new ShardScene({ tasks: 1 }, RUN_MS);
+  const worker = loseHeartbeats(scene);
+  scene.run(RESTART_STEPS);
+  restartAndRefuse(scene, worker);
+  scene.run(2 * LEASE_STEPS);
+  const events = scene.shard.machineEvents.map(({ type, agentEpoch, tasks, learnedBy }) => ({
+    type,
+    agentEpoch,
+    tasks,
+    learnedBy,
+  }));
+  assert.deepEqual(events.slice(0, 3), [
+    { type: 'epoch-began', agentEpoch: 2, tasks: 2, learnedBy: 'command' },
+    { type: 'silent-start', agentEpoch: 2, tasks: 2, learnedBy: null },
+    { type: 'lease-expired', agentEpoch: 2, tasks: 2, learnedBy: null },
+  ]);
+});
+
 test("a restarted worker counts its messages anew, known by a command's answer: its heartbeats are answered", () => {
   const scene = new ShardScene({ tasks: 1 }, RUN_MS);
   scene.run(20);
