A request waits for an answer only once it is whole

What callers saw: while connections sent half a request, or their body byte by byte, every other user got 503 'too many requests wait' at that controller, for as long as that went on. Cause: a request took one of the 200 places of waiting requests as soon as its head was there. Incomplete requests were closed after 10 s at the earliest, by a check every 30 s. Connections without a whole request kept their sockets, up to the last one. The peers' listener had no bound at all: a connection could keep half a frame of up to 1 MiB for good, and each further byte copied all the earlier ones. Change: the body is read before a request counts. A request has to be whole within 5 s, as long as a user waits, checked every second. Above 90 % of the inbound connections those without a whole request are closed, the oldest first, once they are 250 ms old; at most 256 bodies (16 MiB) are buffered at a time. At the peers' listener a connection is taken for a peer once a status has arrived; at most 32 others are open, and each connection without a status for five gossip intervals is closed. Chunks are collected in one growing buffer. No bound for each peer address: behind the balancer all users may have one.

--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -6,6 +6,7 @@
 import { readFileSync } from 'node:fs';
 import { Transform, type TransformCallback } from 'node:stream';
 import protobuf from 'protobufjs';
+import { ByteCollector } from '../transport/byte-collector.js';
 import { MAX_FRAME_BYTES } from './constants.js';
 import type { Cancellation } from '../core/cancellation/cancellation.js';
 
@@ -160,14 +161,14 @@
 /** Transforms a byte stream of length-delimited frames into statuses; a malformed frame fails the stream. */
 export class StatusDecoder extends Transform {
   /** received bytes of a frame that is still incomplete */
-  #buffered: Buffer = Buffer.alloc(0);
+  readonly #buffered = new ByteCollector();
 
   constructor() {
     super({ readableObjectMode: true });
   }
 
   override _transform(chunk: Buffer, _encoding: BufferEncoding, callback: TransformCallback): void {
-    this.#buffered = this.#buffered.length === 0 ? chunk : Buffer.concat([this.#buffered, chunk]);
+    this.#buffered.append(chunk);
     try {
       for (let frame = this.#nextFrame(); frame !== null; frame = this.#nextFrame()) {
         const message = Status.decode(frame);
@@ -181,7 +182,8 @@
 
   /** Removes the next complete frame from the buffer and returns its payload; null if more bytes are needed. */
   #nextFrame(): Uint8Array | null {
-    const reader = protobuf.Reader.create(this.#buffered);
+    const { bytes } = this.#buffered;
+    const reader = protobuf.Reader.create(bytes);
     let length: number;
     try {
       length = reader.uint32();
@@ -191,9 +193,8 @@
     }
     if (length > MAX_FRAME_BYTES) throw new FrameTooLongError(length);
     const end = reader.pos + length;
-    if (this.#buffered.length < end) return null;
-    const frame = this.#buffered.subarray(reader.pos, end);
-    this.#buffered = this.#buffered.subarray(end);
-    return frame;
+    if (bytes.length < end) return null;
+    this.#buffered.discard(end);
+    return bytes.subarray(reader.pos, end);
   }
 }
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -13,6 +13,7 @@
   CANCELLATION_FLUSH_DELAY_MS,
 } from './constants.js';
 import { StatusDecoder, StatusEncoder, type Echo, type PeerStatus } from './frames.js';
+import { InboundPeerConnections } from './inbound-connections.js';
 import { parseAddress } from '../transport/address.js';
 
 /** Another node of the service. */
@@ -86,11 +87,16 @@
   /** Accepts connections of peers on `address` (`HOST:PORT`) and starts to broadcast; resolves once it listens. */
   listen(address: string): Promise<void> {
     const { host, port } = parseAddress(address);
+    const inbound = new InboundPeerConnections();
     const server = createServer((socket) => {
       this.#sockets.add(socket);
       socket.on('close', () => this.#sockets.delete(socket));
+      inbound.add(socket);
       const decoder = new StatusDecoder();
-      decoder.on('data', (status: PeerStatus) => this.#receive(status));
+      decoder.on('data', (status: PeerStatus) => {
+        inbound.recordStatus(socket);
+        this.#receive(status);
+      });
       // An error ends only this connection; the peer reconnects.
       pipeline(socket, decoder, () => undefined);
     });
--- a/src/service/constants.ts
+++ b/src/service/constants.ts
@@ -1,7 +1,19 @@
 /** Timing and limits of the node's process. */
 
-/** Limit for receiving a request from a worker or user. */
-export const REQUEST_TIMEOUT_MS = 10_000;
+/** Time within which a request of a worker or user has to be whole, which is as long as a user waits for an answer. */
+export const REQUEST_TIMEOUT_MS = 5000;
+
+/** Interval at which connections are checked for `REQUEST_TIMEOUT_MS`. */
+export const REQUEST_CHECK_INTERVAL_MS = 1000;
+
+/** Requests whose body is being received; beyond this the oldest is closed. They buffer 64 KiB each at most. */
+export const MAX_INCOMPLETE_BODIES = 256;
+
+/** A connection whose request is not whole is not closed before this age for want of sockets. */
+export const MIN_INCOMPLETE_AGE_MS = 250;
+
+/** Share of the allowed inbound connections above which those are closed whose request is not whole. */
+export const INCOMPLETE_CLOSE_THRESHOLD = 0.9;
 
 /**
  * Share of the process's sockets that direct commands may use at a time: after a failover of every shard all workers
--- a/src/service/http-server.ts
+++ b/src/service/http-server.ts
@@ -3,7 +3,7 @@
 import Koa, { type Middleware } from 'koa';
 import type { Logger } from 'pino';
 import { parseAddress } from '../transport/address.js';
-import { REQUEST_TIMEOUT_MS } from './constants.js';
+import { REQUEST_CHECK_INTERVAL_MS, REQUEST_TIMEOUT_MS } from './constants.js';
 import { InboundConnections } from './socket-budget.js';
 
 /** Limits on inbound connections. */
@@ -32,13 +32,17 @@
     app.on('error', (error: Error) => this.log.debug({ error: error.message }, 'request failed'));
     for (const route of routes) app.use(route);
     const handler = app.callback();
-    const server = createServer((request, response) => {
-      connections.beforeResponse(response);
+    const timeouts = {
+      headersTimeout: REQUEST_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: REQUEST_CHECK_INTERVAL_MS,
+      keepAliveTimeout: limits.idleTimeoutMs,
+    };
+    const server = createServer(timeouts, (request, response) => {
+      connections.beforeResponse(request, response);
       void handler(request, response);
     });
     const connections = new InboundConnections(server, limits.maxConnections);
-    server.keepAliveTimeout = limits.idleTimeoutMs;
-    server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.on('drop', limits.onDropped);
     this.#server = server;
     const { host, port } = parseAddress(address);
--- a/src/service/socket-budget.ts
+++ b/src/service/socket-budget.ts
@@ -1,22 +1,28 @@
 /** Division of the process's sockets among their uses, and the limit on inbound connections. */
-import type { Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { MAX_CLOUD_SOCKETS } from '../cloud/constants.js';
 import {
   CLOSE_AFTER_RESPONSE_THRESHOLD,
   DIRECT_COMMAND_SOCKET_SHARE,
+  INCOMPLETE_CLOSE_THRESHOLD,
+  MIN_INCOMPLETE_AGE_MS,
   SOCKETS_PER_PEER,
   RESERVED_SOCKETS,
 } from './constants.js';
+import { IncompleteRequests } from './incomplete-requests.js';
 import { MAX_STORE_SOCKETS } from '../store/constants.js';
 
 /**
  * Limits the inbound connections of a server. Workers and users use persistent connections, and the only surviving
  * node may have more workers than sockets. Above `CLOSE_AFTER_RESPONSE_THRESHOLD` every response therefore closes its
- * connection: each heartbeat then costs a new connection, but every worker gets its turn.
+ * connection: each heartbeat then costs a new connection, but every worker gets its turn. Connections that do not send
+ * a whole request make room for others.
  */
 export class InboundConnections {
   #openConnections = 0;
+  readonly #incomplete = new IncompleteRequests();
+  #reclaimTimer: NodeJS.Timeout | null = null;
 
   constructor(
     server: Server,
@@ -27,11 +33,29 @@
     server.on('connection', (socket: Socket) => {
       this.#openConnections += 1;
       socket.once('close', () => (this.#openConnections -= 1));
+      this.#incomplete.awaitHead(socket);
+      this.#scheduleReclaim();
     });
   }
 
-  /** Must be called for each response before it is sent. */
-  beforeResponse(response: Pick<ServerResponse, 'setHeader'>): void {
+  /** Number of open connections beyond which those without a whole request are closed. */
+  get #excess(): number {
+    return this.#openConnections - Math.floor(this.maxConnections * INCOMPLETE_CLOSE_THRESHOLD);
+  }
+
+  #scheduleReclaim(): void {
+    if (this.#excess <= 0 || this.#reclaimTimer !== null) return;
+    this.#reclaimTimer = setTimeout(() => {
+      this.#reclaimTimer = null;
+      // After a pause of this process its timers end first, so what has arrived meanwhile is read before the decision.
+      setImmediate(() => this.#incomplete.close(this.#excess));
+    }, MIN_INCOMPLETE_AGE_MS);
+    this.#reclaimTimer.unref();
+  }
+
+  /** Must be called for each request once its head is whole, before its body is read. */
+  beforeResponse(request: IncomingMessage, response: Pick<ServerResponse, 'setHeader'>): void {
+    this.#incomplete.receiveBody(request);
     if (this.#openConnections > this.maxConnections * CLOSE_AFTER_RESPONSE_THRESHOLD)
       response.setHeader('Connection', 'close');
   }
--- a/src/transport/http.ts
+++ b/src/transport/http.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 import type Koa from 'koa';
+import { ByteCollector } from './byte-collector.js';
 import { MAX_BODY_BYTES } from './constants.js';
 import { decodeCbor, encodeCbor } from '../wire/cbor.js';
 
@@ -35,17 +36,15 @@
  */
 export const readStream = (stream: Readable, limitBytes: number): Promise<Buffer | null> =>
   new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ByteCollector();
     stream.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limitBytes) {
+      if (collector.length + chunk.length > limitBytes) {
         stream.pause();
         resolve(null);
-      } else chunks.push(chunk);
+      } else collector.append(chunk);
     });
     stream.once('end', () => {
-      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size));
+      resolve(collector.bytes);
     });
     stream.once('error', reject);
     stream.once('close', () => {
--- a/src/users/user-routes.ts
+++ b/src/users/user-routes.ts
@@ -77,13 +77,20 @@
       await next();
       return;
     }
+    // A request waits for an answer only once it is whole: slow senders must not take the place of others.
+    const body = ctx.method === 'POST' ? await readBody(ctx.req) : null;
+    if (ctx.method === 'POST' && body === null) {
+      ctx.set('Connection', 'close');
+      sendCbor(ctx, 400, { error: 'body over the limit' });
+      return;
+    }
     if (this.#inFlight >= MAX_IN_FLIGHT_REQUESTS) {
       this.#respondRetryLater(ctx, 'too many requests wait');
       return;
     }
     this.#inFlight += 1;
     try {
-      await this.#dispatch(ctx);
+      await this.#dispatch(ctx, body);
     } catch (error) {
       if (error instanceof WireError) sendCbor(ctx, 400, { error: error.message });
       else if (error instanceof StoreRequestError || error instanceof RequestTimeoutError)
@@ -99,10 +106,10 @@
     else this.#respondRetryLater(ctx, 'not ready');
   }
 
-  async #dispatch(ctx: Koa.Context): Promise<void> {
+  async #dispatch(ctx: Koa.Context, body: Buffer | null): Promise<void> {
     const arrivedAt = this.dependencies.now();
     const [, , uid, verb] = ctx.path.split('/');
-    if (uid === undefined && ctx.method === 'POST') return this.#submit(ctx, arrivedAt);
+    if (uid === undefined && body !== null) return this.#submit(ctx, body, arrivedAt);
     if (uid === undefined || (verb !== undefined && verb !== 'withdraw')) return;
     if (verb === undefined && ctx.method !== 'GET') return;
     if (verb === 'withdraw' && ctx.method !== 'POST') return;
@@ -114,14 +121,8 @@
     return verb === undefined ? this.#query(request) : this.#cancel(request);
   }
 
-  async #submit(ctx: Koa.Context, arrivedAt: number): Promise<void> {
+  async #submit(ctx: Koa.Context, bytes: Buffer, arrivedAt: number): Promise<void> {
     const { dependencies } = this;
-    const bytes = await readBody(ctx.req);
-    if (bytes === null) {
-      ctx.set('Connection', 'close');
-      sendCbor(ctx, 400, { error: 'body over the limit' });
-      return;
-    }
     const body = decodeCbor(bytes);
     const parsed = submissionSchema.safeParse(body);
     if (!parsed.success) return this.#rejectMalformed(ctx, body, parsed.error, arrivedAt);
--- a/test/socket-budget.test.ts
+++ b/test/socket-budget.test.ts
@@ -36,7 +36,7 @@
   const clientCount = 40;
   let connections: InboundConnections | null = null;
   const server = createServer((request, response) => {
-    connections?.beforeResponse(response);
+    connections?.beforeResponse(request, response);
     request.resume();
     request.on('end', () => response.end(encodeCbor({ ok: true })));
   });
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -230,6 +230,21 @@
     return this.#clients.get(node)!.call(method, path, body, 3000);
   }
 
+  /** Sends a request over a connection of its own; rejects if there is no answer within 3000 ms. */
+  async callOnce(
+    node: string,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<CborResponse> {
+    const client = new CborClient(this.#configs.get(node)!.listen, 1);
+    try {
+      return await client.call(method, path, body, 3000);
+    } finally {
+      client.close();
+    }
+  }
+
   /**
    * Waits until the condition is met, checking the deadlines of cancellations meanwhile; fails after `seconds`.
    * `condition` names it in the error.
