--- a/src/core/capacity/wanted-machines.ts
+++ b/src/core/capacity/wanted-machines.ts
@@ -130,61 +130,92 @@
   return Math.max(input.drainS, Math.min(...limitsS) - runS - need.type.bootS);
 };
 
+/** Tasks of a class to have capacity for. */
+interface ClassCapacity {
+  /** on machines of the cheapest kind */
+  readonly tasks: number;
+  /** on ordinary machines that are rented instead of spot ones */
+  readonly costlyTasks: number;
+  /** how many of them exist only as a reserve, which tasks of lower ranks may use until they are preempted */
+  readonly reservedTasks: number;
+}
+
+/**
+ * Returns the capacity by the square-root rule: the tasks expected at once plus some standard deviations. The reserve
+ * beyond the tasks that exist is computed for the cluster and split evenly between the shards. If each shard aimed at
+ * its part of the cluster's total instead, shards with more tasks than others would exceed theirs, and the cluster
+ * would have too many machines.
+ */
+const squareRootCapacity = (
+  { spec, running, waiting }: ClassNeed,
+  clusterTasks: number,
+  activeElsewhere: number,
+  { reserveSigma, shardCount, shard }: DemandInput,
+): ClassCapacity => {
+  const active = running + waiting;
+  // Capacity for replicas is kept for those that may arrive while a machine boots.
+  const activeInCluster = spec.kind === 'service' ? 0 : active + activeElsewhere;
+  const reserve = clusterTasks + reserveSigma * Math.sqrt(clusterTasks) - activeInCluster;
+  const tasks = active + Math.max(0, reserve) / shardCount;
+  const reservedTasks = shard.preemptionEnabled ? Math.max(0, tasks - active) : 0;
+  return { tasks, costlyTasks: tasks, reservedTasks };
+};
+
+/** Returns the capacity with which the waiting work of a class is drained in time. */
+const drainCapacity = (
+  need: ClassNeed,
+  tasksPerShard: number,
+  runS: number,
+  input: DemandInput,
+): ClassCapacity => {
+  const active = need.running + need.waiting;
+  // On average, half of the work of running tasks is still to be done.
+  const workS = (need.waiting + need.running / 2) * runS;
+  const steadyTasks = Math.min(tasksPerShard, active);
+  const tasksToDrainIn = (seconds: number) =>
+    Math.min(active, Math.max(steadyTasks, workS / Math.max(seconds, runS)));
+  return {
+    tasks: tasksToDrainIn(input.drainS),
+    costlyTasks: tasksToDrainIn(costlyDrainS(need.spec.jobClass, need, runS, input)),
+    reservedTasks: 0,
+  };
+};
+
+const classCapacity = (jobClass: string, need: ClassNeed, input: DemandInput): ClassCapacity => {
+  const { spec, type } = need;
+  const stats = input.classStats.get(jobClass);
+  const runS = stats?.runS ?? (spec.estimateS > 0 ? spec.estimateS : DEFAULT_RUN_S);
+  // Replicas never end, so their run time does not tell how many there are at once.
+  const clusterTasks = (stats?.tasksPerS ?? 0) * (spec.kind === 'service' ? type.bootS : runS);
+  if (spec.kind === 'array' && !isUrgent(jobClass, input.objectives, type.bootS)) {
+    return drainCapacity(need, clusterTasks / input.shardCount, runS, input);
+  }
+  const activeElsewhere = input.activeTasksElsewhere.get(jobClass) ?? 0;
+  return squareRootCapacity(need, clusterTasks, activeElsewhere, input);
+};
+
 /**
- * Returns the machines that a shard needs, by type. Urgent classes, gangs and services are sized by the
- * square-root rule: the tasks expected at once plus some standard deviations. The other classes are sized by the
- * work that has to be drained.
+ * Returns the machines that a shard needs, by type. Urgent classes, gangs and services are sized by the square-root
+ * rule, the other classes by the work that has to be drained.
  */
 export const wantedMachines = (input: DemandInput): Map<string, TypeNeed> => {
   const needsByType = new Map<string, TypeNeed>();
-  /** reserved machines, on which tasks of lower ranks may run until they are preempted */
-  let preemptibleReserve = 0;
+  let reservedMachines = 0;
   for (const [jobClass, need] of needsByClass(input)) {
-    const stats = input.classStats.get(jobClass);
-    const runS = stats?.runS ?? (need.spec.estimateS > 0 ? need.spec.estimateS : DEFAULT_RUN_S);
+    const { tasks, costlyTasks, reservedTasks } = classCapacity(jobClass, need, input);
     const tasksPerMachine = Math.max(1, fitCount(need.spec.demand, need.type));
-    // Replicas never end, so their run time does not tell how many there are at once. Capacity is kept for those
-    // that may arrive while a machine boots.
-    const isService = need.spec.kind === 'service';
-    const clusterTasks = (stats?.tasksPerS ?? 0) * (isService ? need.type.bootS : runS);
-    const tasksPerShard = clusterTasks / input.shardCount;
-    const activeElsewhere = input.activeTasksElsewhere.get(jobClass) ?? 0;
-    const active = need.running + need.waiting;
     const typeNeed = needsByType.get(need.type.name) ?? { ordinary: 0, spot: 0, instead: 0 };
     needsByType.set(need.type.name, typeNeed);
-    // Tasks to have capacity for: on machines of the cheapest kind, and on ordinary ones rented instead of spot ones.
-    let capacityTasks: number;
-    let costlyCapacityTasks: number;
-    if (isUrgent(jobClass, input.objectives, need.type.bootS) || need.spec.kind !== 'array') {
-      // The reserve beyond the tasks that exist is computed for the cluster and split evenly between the shards.
-      // If each shard aimed at its part of the cluster's total instead, shards with more tasks than others would
-      // exceed theirs, and the cluster would have too many machines.
-      const activeInCluster = isService ? 0 : active + activeElsewhere;
-      const reserve = clusterTasks + input.reserveSigma * Math.sqrt(clusterTasks) - activeInCluster;
-      capacityTasks = costlyCapacityTasks = active + Math.max(0, reserve) / input.shardCount;
-      if (input.shard.preemptionEnabled) {
-        preemptibleReserve += Math.max(0, capacityTasks - active) / tasksPerMachine;
-      }
-    } else {
-      // On average, half of the work of running tasks is still to be done.
-      const workS = (need.waiting + need.running / 2) * runS;
-      const steadyTasks = Math.min(tasksPerShard, active);
-      const tasksToDrainIn = (seconds: number) =>
-        Math.min(active, Math.max(steadyTasks, workS / seconds));
-      capacityTasks = tasksToDrainIn(Math.max(input.drainS, runS));
-      costlyCapacityTasks = tasksToDrainIn(
-        Math.max(costlyDrainS(jobClass, need, runS, input), runS),
-      );
-    }
+    reservedMachines += reservedTasks / tasksPerMachine;
     if (need.spec.spot) {
-      typeNeed.spot += capacityTasks / tasksPerMachine;
-      typeNeed.instead += costlyCapacityTasks / tasksPerMachine;
-    } else typeNeed.ordinary += capacityTasks / tasksPerMachine;
+      typeNeed.spot += tasks / tasksPerMachine;
+      typeNeed.instead += costlyTasks / tasksPerMachine;
+    } else typeNeed.ordinary += tasks / tasksPerMachine;
   }
   for (const typeNeed of needsByType.values()) {
     if (typeNeed.ordinary === 0) continue;
-    typeNeed.spot = Math.max(0, typeNeed.spot - preemptibleReserve);
-    typeNeed.instead = Math.max(0, typeNeed.instead - preemptibleReserve);
+    typeNeed.spot = Math.max(0, typeNeed.spot - reservedMachines);
+    typeNeed.instead = Math.max(0, typeNeed.instead - reservedMachines);
   }
   return needsByType;
 };
