Tests: a direct start that is held up beyond the time for cancelling its job starts nothing

Need: the question whether such a start can run, for machines that are deaf or mute, restart or move, for a new owner and for a store that is down. Change: seven cases on the scene of one shard; the network holds the starts of a job that is cancelled, and delivers them once cancel_s is over. No source changes.

--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -10,7 +10,10 @@
 import { toCandidate } from '../src/rebalancing/move-candidates.js';
 import { job, LEASE_MS, machine, settings, shardWith, tokensOf } from './helpers.js';
 import { RUN_MS, SCENE_JOB, ShardScene, STEP_MS } from './shard-scene.js';
-import { FakeWorker } from './standins/worker.js';
+import { CANCEL_MS, FakeWorker } from './standins/worker.js';
+
+/** The job whose direct starts are held up. */
+const HELD_JOB = 'job-000009';
 
 interface PathCase {
   /** how the attempts end, and what happens then */
@@ -211,6 +214,88 @@
   });
 });
 
+/** What happens between the direct start of a job's tasks, which is held up, and its arrival. */
+const HELD_STARTS: { readonly name: string; readonly injectFaults: (scene: ShardScene) => void }[] =
+  [
+    { name: 'nothing else happens', injectFaults: () => undefined },
+    {
+      name: 'the machines send heartbeats, and get neither answers nor commands',
+      injectFaults: (scene) => loseFor(scene, scene.withoutCommands),
+    },
+    {
+      name: 'the heartbeats of the machines are lost',
+      injectFaults: (scene) => loseFor(scene, scene.withoutHeartbeats),
+    },
+    {
+      name: 'the store does not answer any more',
+      injectFaults: (scene) => {
+        scene.hasAuthority = false;
+      },
+    },
+    {
+      name: 'the workers restart',
+      injectFaults: (scene) => {
+        for (const worker of scene.workers.values()) worker.restart(scene.now);
+      },
+    },
+    {
+      name: 'a new owner takes over',
+      injectFaults: (scene) => {
+        scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
+      },
+    },
+    {
+      name: 'the machines move to another shard',
+      injectFaults: (scene) => {
+        for (const target of scene.shard.machines.values()) target.cordoned = true;
+        scene.run(20);
+        assert.ok([...scene.shard.machines.values()].every((m) => isReadyToMove(scene, m)));
+        const other = new Shard(1, tokensOf(scene.shard.tokens.last + 1), settings());
+        for (const name of scene.workers.keys()) {
+          scene.store.add(machine(name, { shard: 1, term: other.term }));
+        }
+        scene.shard = other;
+      },
+    },
+  ];
+
+/** Loses all messages of one direction of all machines for less than a lease. */
+const loseFor = (scene: ShardScene, lost: Set<FakeWorker>): void => {
+  for (const worker of scene.workers.values()) lost.add(worker);
+  scene.run(LEASE_MS / STEP_MS - 2);
+  lost.clear();
+};
+
+const isReadyToMove = (scene: ShardScene, target: MachineState): boolean =>
+  toCandidate(scene.shard, target, scene.now).readyToMove;
+
+describe('a direct start is held up until the time for cancelling its job is over', () => {
+  for (const { name, injectFaults } of HELD_STARTS) {
+    test(`${name}: it does not start the task`, () => {
+      const scene = new ShardScene({ tasks: 1 }, 10 * CANCEL_MS);
+      scene.cancel();
+      scene.run(3);
+      scene.holdsCommands = true;
+      scene.store.add(job({ uid: HELD_JOB, tasks: 4 }));
+      scene.shard.sync(scene.store, scene.now);
+      scene.shard.placeAll(scene.now);
+      scene.sendDirectCommands(scene.shard);
+      const held = scene.sent.filter(({ commands }) =>
+        commands.some(({ uid }) => uid === HELD_JOB),
+      );
+      assert.ok(held.length > 0, 'starts are held up');
+      scene.store.jobs.delete(HELD_JOB);
+      scene.world.cancelledAt.set(HELD_JOB, scene.now);
+      injectFaults(scene);
+      scene.run(CANCEL_MS / STEP_MS + 3);
+      scene.holdsCommands = false;
+      const { startsAfterCancellation } = scene.world;
+      scene.run(LEASE_MS / STEP_MS);
+      assert.equal(scene.world.startsAfterCancellation, startsAfterCancellation);
+    });
+  }
+});
+
 describe('fencing of direct starts', () => {
   const fencing = () => new StartFencing({ first: 10, last: 12 });
 
--- a/test/shard-scene.ts
+++ b/test/shard-scene.ts
@@ -36,6 +36,12 @@
   readonly unreachable = new Set<FakeWorker>();
   /** workers whose heartbeats reach no controller, while direct commands reach them */
   readonly withoutHeartbeats = new Set<FakeWorker>();
+  /** workers that get neither direct commands nor answers, while their heartbeats arrive */
+  readonly withoutCommands = new Set<FakeWorker>();
+  /** whether the network holds up all direct commands, instead of delivering them and their copies */
+  holdsCommands = false;
+  /** whether the controller has authority: without it, it starts nothing, and sends stops alone */
+  hasAuthority = true;
 
   constructor(spec: Partial<JobSpec>, runMs = RUN_MS) {
     for (const name of MACHINES) {
@@ -69,7 +75,7 @@
     this.repeatAll();
     for (const shard of shards) {
       shard.expireLeases(this.now);
-      shard.placeAll(this.now);
+      if (this.hasAuthority) shard.placeAll(this.now);
       this.sendDirectCommands(shard);
       assertDerivedState(shard);
     }
@@ -80,8 +86,9 @@
   #report(worker: FakeWorker, shards: readonly Shard[]): void {
     const heartbeat = worker.heartbeat();
     for (const shard of shards) {
-      const result = shard.handleHeartbeat(heartbeat, this.now, true);
+      const result = shard.handleHeartbeat(heartbeat, this.now, this.hasAuthority);
       if (result.kind !== 'answer') continue;
+      if (this.withoutCommands.has(worker)) return;
       const { fencingToken, commands } = result;
       worker.onHeartbeatAnswer(fencingToken, commands, this.now, heartbeat.agentEpoch);
       return;
@@ -90,7 +97,8 @@
 
   /** Sends the shard's direct commands, and probes the machines whose task lists it lacks. */
   sendDirectCommands(shard: Shard): void {
-    for (const { machine: target, commands, starts } of shard.directCommands(this.now)) {
+    const batches = shard.directCommands(this.now, Infinity, this.hasAuthority);
+    for (const { machine: target, commands, starts } of batches) {
       const executed = this.#sendDirectly(shard, target, commands);
       if (executed !== null) shard.settleDirectStarts(target, starts, executed);
     }
@@ -107,15 +115,17 @@
     const token = target.fencing.token;
     const agentEpoch = target.epoch?.number ?? 1;
     if (commands.length > 0) this.sent.push({ worker, token, agentEpoch, commands });
-    if (this.unreachable.has(worker)) return null;
+    const isLost = this.unreachable.has(worker) || this.withoutCommands.has(worker);
+    if (isLost || this.holdsCommands) return null;
     const executed = worker.executeDirect(token, agentEpoch, commands);
     if (this.losesAnswers) return null;
     shard.handleCommandStatus(worker.heartbeat(), this.now);
     return executed;
   }
 
-  /** Delivers a copy of every direct message that was ever sent. */
+  /** Delivers a copy of every direct message that was ever sent, or the original if it was held up. */
   repeatAll(): void {
+    if (this.holdsCommands) return;
     for (const { worker, token, agentEpoch, commands } of this.sent) {
       worker.executeDirect(token, agentEpoch, commands);
     }
