Tests: late returns of machines that the next owner uses, and under the next leader of orphan collection

Need: the question whether a machine whose deletion is carried out late runs tasks that no controller knows of. No source changes. Without recorded returns the next owner uses such a machine, and its tasks run elsewhere once it is gone; with them, neither owner nor leader uses it.

--- a/test/singleton-controllers.test.ts
+++ b/test/singleton-controllers.test.ts
@@ -122,35 +122,97 @@
   );
 });
 
-describe('singleton controllers: late returns', () => {
+/** Runs a job, and holds back the returns of its machines once they are idle. Resolves with their names. */
+const holdReturnsOfIdleMachines = async (cluster: Cluster): Promise<readonly string[]> => {
+  const first = await cluster.submit('n0', { Pieces: 8 });
+  await untilDone(cluster, 'n0', first);
+  cluster.cloud.holdsReturns = true;
+  await cluster.waitUntil('idle machines are being returned', IDLE_KEEP_S + 20, () => {
+    return cluster.cloud.heldReturns.length > 0;
+  });
+  return cluster.cloud.heldReturns;
+};
+
+const restartAllNodes = async (cluster: Cluster): Promise<void> => {
+  for (const node of cluster.nodes) cluster.kill(node);
+  await Promise.all(cluster.nodes.map((node) => cluster.start(node)));
+  for (const node of cluster.nodes)
+    await cluster.waitUntil(`${node} is ready`, 20, () => cluster.isReady(node));
+};
+
+/** Returns those of the machines on which tasks of the job are. */
+const machinesWithTasksOf = (
+  cluster: Cluster,
+  uid: string,
+  names: readonly string[],
+): readonly string[] =>
+  names.filter((name) =>
+    [...(cluster.cloud.machines.get(name)?.worker.tasks.values() ?? [])].some(
+      (task) => task.uid === uid,
+    ),
+  );
+
+describe('singleton controllers: late returns', { concurrency: 3 }, () => {
   scenario(
     'a machine return that the cloud executes late does not hit a machine that the next owner uses',
     {},
     async (cluster) => {
-      const first = await cluster.submit('n0', { Pieces: 8 });
-      await untilDone(cluster, 'n0', first);
-      cluster.cloud.holdsReturns = true;
-      await cluster.waitUntil('idle machines are being returned', IDLE_KEEP_S + 20, () => {
-        return cluster.cloud.heldReturns.length > 0;
-      });
+      const returning = await holdReturnsOfIdleMachines(cluster);
       // The nodes that sent the returns end; the next owners get a job whose tasks would fit these machines.
-      const returning = cluster.cloud.heldReturns;
-      for (const node of cluster.nodes) cluster.kill(node);
-      await Promise.all(cluster.nodes.map((node) => cluster.start(node)));
-      for (const node of cluster.nodes)
-        await cluster.waitUntil(`${node} is ready`, 20, () => cluster.isReady(node));
+      await restartAllNodes(cluster);
       const second = await cluster.submit('n1', { Pieces: 8, GuessS: 5 });
       await cluster.waitUntil('the second job runs', 40, () => cluster.runningTasks(second) > 0);
-      const runsSecondJob = (name: string) =>
-        [...(cluster.cloud.machines.get(name)?.worker.tasks.values() ?? [])].some(
-          (task) => task.uid === second,
-        );
-      const used = returning.filter(runsSecondJob);
+      const used = machinesWithTasksOf(cluster, second, returning);
       assert.deepEqual(used, [], 'no task was started on a machine that is being returned');
       cluster.cloud.holdsReturns = false;
       await untilDone(cluster, 'n1', second);
     },
   );
+
+  scenario(
+    'a late return hits a machine that the next owner uses, since returns are not recorded: its tasks run elsewhere',
+    { features: {}, runMs: (index) => (index < 8 ? 1500 : 15_000) },
+    async (cluster) => {
+      const returning = await holdReturnsOfIdleMachines(cluster);
+      await restartAllNodes(cluster);
+      const second = await cluster.submit('n1', { Pieces: 16, GuessS: 15 });
+      await cluster.waitUntil(
+        'tasks run on a machine whose return is held back',
+        40,
+        () => machinesWithTasksOf(cluster, second, returning).length > 0,
+      );
+      cluster.cloud.holdsReturns = false;
+      await untilDone(cluster, 'n1', second);
+    },
+  );
+
+  scenario(
+    'the leader that returns an unknown machine ends, and the return is executed under its successor: no task ran there',
+    {},
+    async (cluster) => {
+      await untilLed(cluster, ORPHAN_COLLECTOR_ROLE);
+      cluster.cloud.holdsReturns = true;
+      const name = await cluster.cloud.bootUnknownMachine();
+      const { worker } = cluster.cloud.machines.get(name)!;
+      await cluster.waitUntil('its return is held back', 40, () =>
+        cluster.cloud.heldReturns.includes(name),
+      );
+      const { holder, token } = leaderOf(cluster, ORPHAN_COLLECTOR_ROLE)!;
+      cluster.kill(holder!.node);
+      const other = cluster.nodes.find((node) => node !== holder!.node)!;
+      const uid = await cluster.submit(other, { Pieces: 12 });
+      await cluster.waitUntil(
+        'another node leads the role',
+        20,
+        () => (leaderOf(cluster, ORPHAN_COLLECTOR_ROLE)?.token ?? 0) > token,
+      );
+      await cluster.runFor(3);
+      assert.equal(worker.tasks.size, 0);
+      cluster.cloud.holdsReturns = false;
+      await untilDone(cluster, other, uid);
+      assert.equal(worker.tasks.size, 0);
+    },
+  );
 });
 
 describe('singleton controllers: garbage collection', () => {
