Buffers of incomplete messages keep within a controller's memory

Cause: the bounds of allowed 256 bodies of 64 KiB and 32 frames of 1 MiB, in buffers of up to twice the length: 96 MiB.

--- a/src/peers/constants.ts
+++ b/src/peers/constants.ts
@@ -19,7 +19,7 @@
  * Inbound connections over which no status has arrived yet; beyond this the oldest is closed. Each may buffer a frame,
  * and a peer sends its first status at once.
  */
-export const MAX_UNIDENTIFIED_CONNECTIONS = 32;
+export const MAX_UNIDENTIFIED_CONNECTIONS = 16;
 
 /** An inbound connection over which no whole status arrives for this long is closed. */
 export const STATUS_TIMEOUT_MS = 5 * GOSSIP_INTERVAL_MS;
--- a/src/peers/frames.ts
+++ b/src/peers/frames.ts
@@ -161,7 +161,7 @@
 /** Transforms a byte stream of length-delimited frames into statuses; a malformed frame fails the stream. */
 export class StatusDecoder extends Transform {
   /** received bytes of a frame that is still incomplete */
-  readonly #buffered = new ByteCollector();
+  readonly #buffered = new ByteCollector(MAX_FRAME_BYTES);
 
   constructor() {
     super({ readableObjectMode: true });
--- a/src/transport/byte-collector.ts
+++ b/src/transport/byte-collector.ts
@@ -3,13 +3,18 @@
 const EMPTY = Buffer.alloc(0);
 
 /**
- * Joins chunks into one buffer, whose capacity doubles when it is full. A message that arrives byte by byte takes at
- * most twice its length, and work in proportion to it. A single chunk is not copied.
+ * Joins chunks into one buffer, whose capacity doubles when it is full. A message that arrives byte by byte takes work
+ * in proportion to its length. A single chunk is not copied.
  */
 export class ByteCollector {
   #buffer: Buffer = EMPTY;
   #length = 0;
 
+  constructor(
+    /** the buffer is made larger than this only for bytes that have arrived */
+    private readonly maxCapacity: number,
+  ) {}
+
   /** The bytes collected so far. The view is valid until the next call of `append`. */
   get bytes(): Buffer {
     return this.#buffer.subarray(0, this.#length);
@@ -36,7 +41,7 @@
   }
 
   #grow(length: number): void {
-    const larger = Buffer.allocUnsafe(2 * length);
+    const larger = Buffer.allocUnsafe(Math.max(length, Math.min(2 * length, this.maxCapacity)));
     this.bytes.copy(larger);
     this.#buffer = larger;
   }
--- a/src/transport/http.ts
+++ b/src/transport/http.ts
@@ -36,7 +36,7 @@
  */
 export const readStream = (stream: Readable, limitBytes: number): Promise<Buffer | null> =>
   new Promise((resolve, reject) => {
-    const collector = new ByteCollector();
+    const collector = new ByteCollector(limitBytes);
     stream.on('data', (chunk: Buffer) => {
       if (collector.length + chunk.length > limitBytes) {
         stream.pause();
