--- a/test/agent-epochs.test.ts
+++ b/test/agent-epochs.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import type { JobSpec } from '../src/core/model.js';
+import { seededRandomInt } from '../src/random.js';
 import { job, LEASE_MS, shardWith } from './helpers.js';
 import { SCENE_JOB, ShardScene, STEP_MS } from './shard-scene.js';
 import { Cluster } from './standins/cluster.js';
@@ -38,12 +39,13 @@
   assert.ok(worker.tasks.size > 0, 'tasks start directly in the new agent epoch');
 };
 
-/** Lets a new owner take the shard over, which probes the worker. */
-const takeOver = (scene: ShardScene, worker: FakeWorker): void => {
-  const { address } = scene.shard.machines.get(worker.name)!;
+/** Lets a new owner take the shard over, which knows the machines' addresses and probes their workers. */
+const takeOver = (scene: ShardScene): void => {
+  const { machines } = scene.shard;
   scene.shard = shardWith(scene.store, scene.shard.tokens.last + 1, {}, scene.now);
-  scene.shard.machines.get(worker.name)!.address = address;
-  scene.run(3);
+  for (const machine of scene.shard.machines.values()) {
+    machine.address = machines.get(machine.record.name)?.address ?? null;
+  }
 };
 
 interface EpochCase {
@@ -90,7 +92,8 @@
     name: 'the answer to a refused command, before a new owner adopts the tasks',
     beginEpoch: (scene, worker) => {
       restartAndRefuse(scene, worker);
-      takeOver(scene, worker);
+      takeOver(scene);
+      scene.run(3);
     },
   },
   {
@@ -141,7 +144,8 @@
     name: 'the probe of a new owner',
     beginEpoch: (scene, worker) => {
       worker.restart(scene.now);
-      takeOver(scene, worker);
+      takeOver(scene);
+      scene.run(3);
     },
   },
 ];
@@ -161,6 +165,65 @@
   }
 });
 
+const SOAK_SEEDS = 300;
+const SOAK_STEPS = 240;
+
+/** Puts the item into the set, or removes it, each with a probability in percent. */
+const toggle = <Item>(
+  set: Set<Item>,
+  item: Item,
+  [addPercent, removePercent]: readonly [number, number],
+  random: (below: number) => number,
+): void => {
+  if (random(100) < addPercent) set.add(item);
+  if (random(100) < removePercent) set.delete(item);
+};
+
+/** Brings about one step's random faults of workers, of the controller's authority, and changes of owner. */
+const injectRandomFaults = (scene: ShardScene, random: (below: number) => number): void => {
+  for (const worker of scene.workers.values()) {
+    toggle(scene.withoutHeartbeats, worker, [4, 4], random);
+    toggle(scene.withoutCommands, worker, [2, 15], random);
+    toggle(scene.unreachable, worker, [1, 10], random);
+    if (random(100) >= (scene.withoutHeartbeats.has(worker) ? 8 : 1)) continue;
+    worker.restart(scene.now);
+    if (random(2) === 0) worker.counter = 0;
+  }
+  scene.hasAuthority = random(100) < (scene.hasAuthority ? 97 : 10);
+  scene.losesAnswers = random(100) < (scene.losesAnswers ? 80 : 2);
+  if (random(1000) < 7) takeOver(scene);
+};
+
+const addAndCancelJobs = (scene: ShardScene, random: (below: number) => number): void => {
+  const { jobs } = scene.store;
+  if (random(100) < 12 && jobs.size < 6) {
+    const kind = random(4) === 0 ? 'service' : 'array';
+    scene.store.add(job({ uid: `job-${scene.now}`, tasks: 1 + random(2), kind }, scene.shard.term));
+  }
+  const cancelled = [...jobs.keys()][random(Math.max(1, jobs.size))];
+  if (random(100) < 3 && cancelled !== undefined) jobs.delete(cancelled);
+};
+
+test('workers restart, links and answers fail and owners change at random, with fixed seeds: no task runs on two machines', () => {
+  let starts = 0;
+  for (let seed = 1; seed <= SOAK_SEEDS; seed++) {
+    const random = seededRandomInt(seed);
+    const scene = new ShardScene({ tasks: 2 }, 20_000 + random(60_000));
+    for (let step = 0; step < SOAK_STEPS; step++) {
+      injectRandomFaults(scene, random);
+      addAndCancelJobs(scene, random);
+      scene.run(1);
+      scene.saveCompletions();
+      for (const { spec, savedCompletions } of scene.shard.jobs.values()) {
+        const isDone = spec.kind !== 'service' && savedCompletions.size === spec.tasks;
+        if (isDone) scene.store.jobs.delete(spec.uid);
+      }
+    }
+    starts += scene.world.starts;
+  }
+  assert.ok(starts > 5000, `only ${starts} starts: too few to test anything`);
+});
+
 test('each step of a worker that restarts without heartbeats is an event for the log', () => {
   const scene = new ShardScene({ tasks: 1 }, RUN_MS);
   const worker = loseHeartbeats(scene);
