Bodies beyond those that may be buffered are closed by a timer

Cause: the bound on incomplete bodies was applied when a further one began, so of bodies that began at one moment none was closed. Change: the timer that closes connections for want of sockets applies this bound too, 250 ms after it is passed. Result: the tests of half-sent requests also check how many connections are left after a second (at most 128 bodies, 16 at the peers' listener).

--- a/src/service/constants.ts
+++ b/src/service/constants.ts
@@ -6,7 +6,7 @@
 /** Interval at which connections are checked for `REQUEST_TIMEOUT_MS`. */
 export const REQUEST_CHECK_INTERVAL_MS = 1000;
 
-/** Requests whose body is being received; beyond this the oldest is closed. They buffer 64 KiB each at most. */
+/** Requests whose body is being received; beyond this the oldest are closed. They buffer 64 KiB each at most. */
 export const MAX_INCOMPLETE_BODIES = 128;
 
 /** A connection whose request is not whole is not closed before this age for want of sockets. */
--- a/src/service/incomplete-requests.ts
+++ b/src/service/incomplete-requests.ts
@@ -36,7 +36,16 @@
     if (!hasBody(request)) return;
     this.#bodies.set(socket, this.now());
     request.once('end', () => this.#bodies.delete(socket));
-    if (this.#bodies.size > MAX_INCOMPLETE_BODIES) this.#closeOldest(this.#bodies, 1);
+  }
+
+  /** Number of bodies that are being received beyond those that may be buffered. */
+  get excessBodies(): number {
+    return Math.max(0, this.#bodies.size - MAX_INCOMPLETE_BODIES);
+  }
+
+  /** Closes the connections of bodies beyond those that may be buffered, the oldest first. */
+  closeExcessBodies(): void {
+    this.#closeOldest(this.#bodies, this.excessBodies);
   }
 
   /** Closes up to `count` connections, those that have taken longest to send a request first. */
--- a/src/service/socket-budget.ts
+++ b/src/service/socket-budget.ts
@@ -44,18 +44,26 @@
   }
 
   #scheduleReclaim(): void {
-    if (this.#excess <= 0 || this.#reclaimTimer !== null) return;
+    const isNeeded = this.#excess > 0 || this.#incomplete.excessBodies > 0;
+    if (!isNeeded || this.#reclaimTimer !== null) return;
     this.#reclaimTimer = setTimeout(() => {
       this.#reclaimTimer = null;
       // After a pause of this process its timers end first, so what has arrived meanwhile is read before the decision.
-      setImmediate(() => this.#incomplete.close(this.#excess));
+      setImmediate(() => this.#reclaim());
     }, MIN_INCOMPLETE_AGE_MS);
     this.#reclaimTimer.unref();
   }
 
+  #reclaim(): void {
+    this.#incomplete.closeExcessBodies();
+    this.#incomplete.close(this.#excess);
+    if (this.#incomplete.excessBodies > 0) this.#scheduleReclaim();
+  }
+
   /** Must be called for each request once its head is whole, before its body is read. */
   beforeResponse(request: IncomingMessage, response: Pick<ServerResponse, 'setHeader'>): void {
     this.#incomplete.receiveBody(request);
+    this.#scheduleReclaim();
     if (this.#openConnections > this.maxConnections * CLOSE_AFTER_RESPONSE_THRESHOLD)
       response.setHeader('Connection', 'close');
   }
--- a/test/incomplete-requests.test.ts
+++ b/test/incomplete-requests.test.ts
@@ -4,7 +4,9 @@
 import { describe, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import pino from 'pino';
+import { MAX_UNIDENTIFIED_CONNECTIONS } from '../src/peers/constants.js';
 import { Gossip } from '../src/peers/gossip.js';
+import { MAX_INCOMPLETE_BODIES } from '../src/service/constants.js';
 import { encodeCbor } from '../src/wire/cbor.js';
 import { Cluster } from './standins/cluster.js';
 import { nextLoopbackAddress } from './standins/loopback.js';
@@ -82,6 +84,8 @@
   /** share of the message that is sent at once; null: the head */
   readonly share: number | null;
   readonly connections: number;
+  /** most connections that may be left after a second */
+  readonly mostLeft: number;
   readonly dribbles?: boolean;
 }
 
@@ -91,6 +95,7 @@
     path: '/submissions',
     share: null,
     connections: SLOW_CONNECTIONS,
+    mostLeft: MAX_INCOMPLETE_BODIES,
     dribbles: true,
   },
   {
@@ -98,24 +103,28 @@
     path: '/submissions',
     share: 0.9,
     connections: SLOW_CONNECTIONS,
+    mostLeft: MAX_INCOMPLETE_BODIES,
   },
   {
     name: 'half-sent cancellations',
     path: '/submissions/job-999999/withdraw',
     share: 0.9,
     connections: SLOW_CONNECTIONS,
+    mostLeft: MAX_INCOMPLETE_BODIES,
   },
   {
     name: 'half-sent heartbeats',
     path: '/agent/beat',
     share: 0.9,
     connections: SLOW_CONNECTIONS,
+    mostLeft: MAX_INCOMPLETE_BODIES,
   },
   {
     name: 'half-sent heads on more connections than the controller has',
     path: '/submissions',
     share: 0.1,
     connections: MOST_CONNECTIONS,
+    mostLeft: SOCKETS,
   },
 ];
 
@@ -138,7 +147,7 @@
 };
 
 describe('requests that are not whole', { concurrency: 2 }, () => {
-  for (const { name, path, share, connections, dribbles = false } of CASES) {
+  for (const { name, path, share, connections, mostLeft, dribbles = false } of CASES) {
     test(`${name}: whole requests and heartbeats are answered beside them`, async () => {
       const cluster = new Cluster({
         ...{ controllers: 1, sockets: SOCKETS },
@@ -154,6 +163,8 @@
         senders = new SlowSenders(cluster.configOf('n0').listen, message, sentAtOnce);
         await senders.connect(connections);
         if (dribbles) senders.dribble();
+        await cluster.runFor(1);
+        assert.ok(senders.open <= mostLeft, `${senders.open} connections are left`);
         await checkWholeRequests(cluster);
         assert.equal(cluster.runningTasks(uid), 4, 'no worker has lost its lease');
         assert.equal(cluster.crashes, 0);
@@ -196,6 +207,8 @@
     await sleep(2500);
     await senders.connect(SLOW_CONNECTIONS);
     senders.dribble();
+    await sleep(1000);
+    assert.ok(senders.open <= MAX_UNIDENTIFIED_CONNECTIONS, `${senders.open} connections are left`);
     const before = received.length;
     await sleep(RELEASED_WITHIN_MS);
     const statuses = received.slice(before);
