A job that requires a single shard migrates with all of its ranges

Cause: a rule about a whole job was decided on one piece of it. A job of more than 8,192 tasks (fewer where values are small) has several ranges. migratableTasks looked for the first range without a placed task, and TaskMigration compared the length of that range alone. After 10 s balancing moved one range, and each of the two owners chose a zone by itself.

Change: core/jobs/single-shard.ts alone says which jobs stay in one shard. A job that an earlier version left divided starts nowhere until the other owners have brought their ranges to the shard of its first task; replicas there are stopped for it. shardWithFreeCapacity gets the number of tasks that have to fit: all of a gang, one of another job, since an array or a service may begin with a part.

Tests changed: migratableTasks became migratableRanges, so shard.test and late-starts name ranges; their checks are the same.

--- a/src/commands/shares.ts
+++ b/src/commands/shares.ts
@@ -14,7 +14,8 @@
   type MoveRequest,
 } from '@sumacstep/shard-rebalancing';
 import type { PlatformConfig } from '../config/platform.js';
-import { hasGuarantee, hasLimit, shardOfTeam } from '../core/jobs/jobs.js';
+import { shardOfTeam } from '../core/jobs/jobs.js';
+import { hasGuarantee, hasLimit } from '../core/jobs/single-shard.js';
 import type { MachineRecord } from '../core/model.js';
 import { movesById, findObstacle } from '../rebalancing/move-coordinator.js';
 import { CALL_PRIORITY } from '../store/call-priority.js';
--- a/src/core/jobs/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -5,7 +5,7 @@
   RANGE_NAME_BYTES,
   SLOT_FILL_RATIO,
 } from './constants.js';
-import type { JobRecord, JobSpec, TaskRange, Team } from '../model.js';
+import type { JobRecord, TaskRange } from '../model.js';
 
 /**
  * Encodes the completed tasks of a range as a bitmap in hexadecimal: four tasks per character, the first task in the
@@ -63,22 +63,6 @@
   return bitmap + longer.slice(shorter.length);
 };
 
-/** Returns whether the team has a quota limit. */
-export const hasLimit = (team: Team | undefined): boolean =>
-  team !== undefined && (team.cpusMax > 0 || team.gpusMax > 0);
-
-/** Returns whether the team has a guarantee. */
-export const hasGuarantee = (team: Team | undefined): boolean =>
-  team !== undefined && (team.cpus > 0 || team.gpus > 0);
-
-/**
- * Returns whether all tasks of the job have to belong to one shard. They have to if a rule depends on where or how many
- * of them run, since only one owner can check it: for gangs, for jobs with `oneZone` or `spread`, and for teams with a
- * limit or a guarantee.
- */
-export const requiresSingleShard = (spec: JobSpec, team: Team | undefined): boolean =>
-  spec.kind === 'gang' || spec.oneZone || spec.spread || hasLimit(team) || hasGuarantee(team);
-
 /** 32-bit FNV-1a hash of the UTF-16 code units of the text. */
 const hash = (text: string): number => {
   let value = 2166136261;
--- a/src/core/reachability/failure-tracker.ts
+++ b/src/core/reachability/failure-tracker.ts
@@ -43,7 +43,7 @@
 
 /** Returns how many waiting tasks of the job may be placed now. */
 export const placeableTasks = (job: JobState, now: number): number =>
-  job.gangBroken || job.backoffUntil > now ? 0 : tasksNeedingCapacity(job, now);
+  job.gangBroken || job.isDivided || job.backoffUntil > now ? 0 : tasksNeedingCapacity(job, now);
 
 /** Records how tasks ended, and derives from it the fault status of machines and the backoff of jobs. */
 export class FailureTracker {
--- a/src/core/shard/range-migration.ts
+++ b/src/core/shard/range-migration.ts
@@ -2,64 +2,120 @@
  * Task migration in the state of the source shard. Between `beginMigration` and `endMigration` the tasks are in no
  * queue, so they start nowhere until the transaction that migrates them is known to have succeeded or failed.
  */
-import type { JobRecord } from '../model.js';
+import { homeShard, isDivided } from '../jobs/single-shard.js';
+import type { JobRecord, TaskRange } from '../model.js';
 import { MIGRATION_COOLDOWN_MS } from './constants.js';
 import type { ShardState } from './shard-state.js';
-import type { JobState, MigratableTasks } from './types.js';
+import type { JobState } from './types.js';
 
 /**
- * Returns tasks at the end of a range that may migrate to another shard, or null if there are none. A gang, or a job
- * with a constraint on zones, migrates only in whole ranges and before any of its tasks is placed. Of other jobs all
- * tasks behind the last one of the range that does not wait may migrate. None of these tasks may be running, so
- * the shard must have recovered if it inherited tasks of the job.
+ * Returns the tasks of the job that may migrate to another shard, as ranges or ends of ranges; none if the list is
+ * empty. A job that requires a single shard migrates with all tasks of all its ranges. Of other jobs all tasks behind
+ * the last one of a range that does not wait may migrate.
  */
-export const migratableTasks = (
+export const migratableRanges = (
   state: ShardState,
   job: JobState,
   record: JobRecord,
-): MigratableTasks | null => {
-  const whole = job.spec.kind === 'gang' || job.spec.oneZone || job.spec.spread;
-  if (!mayMigrate(state, job) || (whole && hasBegun(job))) return null;
-  for (const range of record.ranges) {
+): readonly TaskRange[] => {
+  if (!mayMigrate(state, job)) return [];
+  if (!job.requiresSingleShard) return waitingEnd(state, job, record);
+  const isComplete = !isDivided(record) && job.ownTasks.size === job.spec.tasks;
+  return isComplete && hasNothingToSettle(job) ? record.ranges : [];
+};
+
+/**
+ * Returns the ranges with which a job that is divided between shards, although it requires a single one, has to return
+ * to its home shard. The list is empty in the home shard, and while tasks of the job are placed here.
+ */
+export const rangesToReunite = (
+  state: ShardState,
+  job: JobState,
+  record: JobRecord,
+): readonly TaskRange[] => {
+  const isAway = isDivided(record) && homeShard(record) !== state.index;
+  if (!isAway || !mayMigrate(state, job) || !hasNothingToSettle(job)) return [];
+  return record.ranges.filter(({ shard }) => shard === state.index);
+};
+
+/**
+ * Stops the replicas of a divided service outside its home shard, since they never end by themselves. Tasks of arrays
+ * and gangs do.
+ */
+export const stopReplicasAwayFromHome = (
+  state: ShardState,
+  job: JobState,
+  record: JobRecord,
+  now: number,
+): void => {
+  if (job.spec.kind !== 'service' || homeShard(record) === state.index) return;
+  for (const placement of [...job.placements.values()]) state.requestStop(placement, 0, now);
+};
+
+/**
+ * Whether any tasks of the job may migrate now. None of them may be running, so the shard must have recovered if it
+ * inherited tasks of the job.
+ */
+const mayMigrate = (state: ShardState, job: JobState): boolean =>
+  !job.ended && !job.isMigrating && (job.inheritedTasks.size === 0 || state.recovered);
+
+/** Whether no task of the job is placed here, and the store knows all that have completed here. */
+const hasNothingToSettle = (job: JobState): boolean =>
+  job.placements.size === 0 && job.unsavedCompletions.size === 0;
+
+/** Returns the waiting tasks at the end of the first range of this shard that has any. */
+const waitingEnd = (
+  state: ShardState,
+  job: JobState,
+  { ranges }: JobRecord,
+): readonly TaskRange[] => {
+  for (const range of ranges) {
     if (range.shard !== state.index) continue;
     let from = range.to;
     while (from > range.from && job.waitingTasks.has(from - 1)) from -= 1;
-    if (from < range.to && !(whole && from > range.from)) return { range, from };
+    if (from < range.to) return [{ ...range, from }];
   }
-  return null;
+  return [];
 };
 
-/** Whether any tasks of the job may migrate now. */
-const mayMigrate = (state: ShardState, job: JobState): boolean =>
-  !job.ended &&
-  job.migratingTasks.length === 0 &&
-  (job.inheritedTasks.size === 0 || state.recovered);
-
-/** Whether some task of the job is placed or completed. */
-const hasBegun = (job: JobState): boolean =>
-  job.placements.size + job.savedCompletions.size + job.unsavedCompletions.size > 0;
-
-/** Takes the tasks from..to-1 out of the queue. Called before the transaction that migrates them is sent. */
-export const beginMigration = (job: JobState, from: number, to: number): void => {
-  for (let task = from; task < to; task++) {
-    if (job.waitingTasks.delete(task)) job.migratingTasks.push(task);
+/** Takes the tasks of the ranges out of the queue. Called before the transaction that migrates them is sent. */
+export const beginMigration = (job: JobState, ranges: readonly TaskRange[]): void => {
+  job.isMigrating = true;
+  for (const { from, to } of ranges) {
+    for (let task = from; task < to; task++) {
+      if (job.waitingTasks.delete(task)) job.migratingTasks.push(task);
+    }
   }
 };
 
-/** Applies the outcome: after a success the tasks belong to the other shard, after a failure they wait here again. */
-export const endMigration = (job: JobState, succeeded: boolean, now: number): void => {
+/**
+ * Applies the outcome: after a success the tasks of the ranges belong to the other shard, after a failure they wait
+ * here again.
+ */
+export const endMigration = (
+  job: JobState,
+  ranges: readonly TaskRange[],
+  succeeded: boolean,
+  now: number,
+): void => {
   const tasks = job.migratingTasks;
   job.migratingTasks = [];
+  job.isMigrating = false;
   job.nextMigrationAt = now + MIGRATION_COOLDOWN_MS;
   job.unschedulableSince = null;
-  if (!succeeded) {
-    if (job.ended) return;
-    for (const task of tasks) job.waitingTasks.add(task);
-    job.waitingTasks.sort();
+  if (succeeded) {
+    for (const range of ranges) removeRange(job, range);
     return;
   }
-  for (const task of tasks) {
+  if (job.ended) return;
+  for (const task of tasks) job.waitingTasks.add(task);
+  job.waitingTasks.sort();
+};
+
+const removeRange = (job: JobState, { from, to }: TaskRange): void => {
+  for (let task = from; task < to; task++) {
     job.ownTasks.delete(task);
     job.inheritedTasks.delete(task);
+    job.savedCompletions.delete(task);
   }
 };
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -3,7 +3,7 @@
  * resulting commands. The caller passes the time in monotonic milliseconds. Nothing here does input or output.
  */
 import { allocationRatios } from '../capacity/allocation-ratio.js';
-import type { Command, Heartbeat, JobRecord, ReportedTask } from '../model.js';
+import type { Command, Heartbeat, JobRecord, ReportedTask, TaskRange } from '../model.js';
 import { Quotas } from '../placement/quotas.js';
 import { Scheduler } from '../placement/scheduler.js';
 import { Preemption } from '../preemption/preemption.js';
@@ -12,7 +12,7 @@
 import { HeartbeatReconciler } from './heartbeat-reconciler.js';
 import { expireLeases } from './lease-expiry.js';
 import type { MachineEvent } from './machine-events.js';
-import { beginMigration, endMigration, migratableTasks } from './range-migration.js';
+import * as migration from './range-migration.js';
 import * as queries from './shard-queries.js';
 import { ShardState } from './shard-state.js';
 import type { DirectStart, TokenRange } from './start-fencing.js';
@@ -24,7 +24,6 @@
   FinishedRun,
   JobState,
   MachineState,
-  MigratableTasks,
   Placement,
   PreemptibleMachine,
   ShardSettings,
@@ -209,19 +208,29 @@
 
   // --- task migration to other shards ------------------------------------------------------------
 
-  /** Returns tasks of the job that may migrate to another shard, or null if there are none. */
-  migratableTasks(job: JobState, record: JobRecord): MigratableTasks | null {
-    return migratableTasks(this.state, job, record);
+  /** Returns the ranges, or ends of ranges, of the job that may migrate to another shard. */
+  migratableRanges(job: JobState, record: JobRecord): readonly TaskRange[] {
+    return migration.migratableRanges(this.state, job, record);
   }
 
-  /** Takes the tasks from..to-1 out of the queue. Called before the transaction that migrates them is sent. */
-  beginMigration(job: JobState, from: number, to: number): void {
-    beginMigration(job, from, to);
+  /** Returns the ranges with which a divided job has to return to its home shard. */
+  rangesToReunite(job: JobState, record: JobRecord): readonly TaskRange[] {
+    return migration.rangesToReunite(this.state, job, record);
+  }
+
+  /** Stops the replicas of a divided service outside its home shard. */
+  stopReplicasAwayFromHome(job: JobState, record: JobRecord, now: number): void {
+    migration.stopReplicasAwayFromHome(this.state, job, record, now);
+  }
+
+  /** Takes the tasks of the ranges out of the queue. Called before the transaction that migrates them is sent. */
+  beginMigration(job: JobState, ranges: readonly TaskRange[]): void {
+    migration.beginMigration(job, ranges);
   }
 
   /** Applies the outcome of the migration's transaction. */
-  endMigration(job: JobState, succeeded: boolean, now: number): void {
-    endMigration(job, succeeded, now);
+  endMigration(job: JobState, ranges: readonly TaskRange[], succeeded: boolean, now: number): void {
+    migration.endMigration(job, ranges, succeeded, now);
   }
 
   // --- state -------------------------------------------------------------------------------------
--- a/src/core/shard/store-synchronizer.ts
+++ b/src/core/shard/store-synchronizer.ts
@@ -1,5 +1,6 @@
 /** Reconciles the jobs and machines of one shard with the records of the store. */
 import { decodeDone } from '../jobs/jobs.js';
+import { isDivided, requiresSingleShard } from '../jobs/single-shard.js';
 import { TaskQueue } from '../jobs/task-queue.js';
 import { TaskSet } from '../jobs/task-set.js';
 import {
@@ -126,7 +127,7 @@
   #syncJob(record: JobRecord, records: StoredRecords, now: number, timeOfDayMs: number): void {
     const { uid } = record.spec;
     let job = this.state.jobs.get(uid);
-    if (job !== undefined && job.migratingTasks.length > 0) {
+    if (job?.isMigrating === true) {
       this.#deferredJobs.add(uid);
       return;
     }
@@ -135,6 +136,7 @@
       job ??= this.#addJob(record, now, timeOfDayMs);
       this.#addRange(job, range, records.done(uid, range.from));
     }
+    if (job !== undefined) job.isDivided = job.requiresSingleShard && isDivided(record);
   }
 
   #addJob({ spec, at }: JobRecord, now: number, timeOfDayMs: number): JobState {
@@ -144,6 +146,7 @@
       priorityRank: PRIORITY_RANK[spec.priority],
       demandShare,
       dominantResource: dominantResource(demandShare),
+      requiresSingleShard: requiresSingleShard(spec, this.state.settings.teams.get(spec.team)),
       constraintKey: constraintKey(spec),
       acceptedAt: at,
       // A job's age counts from its acceptance, also after a change of the shard's owner.
@@ -165,6 +168,8 @@
       gangBroken: false,
       gangStopGraceS: null,
       unschedulableSince: null,
+      isDivided: false,
+      isMigrating: false,
       migratingTasks: [],
       nextMigrationAt: -Infinity,
     };
--- a/src/core/shard/types.ts
+++ b/src/core/shard/types.ts
@@ -10,7 +10,6 @@
   MachineType,
   ResourceKind,
   Resources,
-  TaskRange,
   TaskState,
   Team,
 } from '../model.js';
@@ -72,6 +71,8 @@
   readonly demandShare: Resources;
   /** the resource with the largest value in `demandShare` */
   readonly dominantResource: ResourceKind;
+  /** whether all tasks of the job have to belong to one shard; see `single-shard.ts` */
+  readonly requiresSingleShard: boolean;
   /** equal for jobs with the same placement constraints, apart from the amounts of resources */
   readonly constraintKey: string;
   /** wall-clock time of acceptance, ms */
@@ -110,7 +111,14 @@
   gangStopGraceS: number | null;
   /** time since which its tasks have waited without finding capacity; null if they do not wait */
   unschedulableSince: number | null;
-  /** tasks in a migration whose outcome is not known yet; they start nowhere until it is */
+  /**
+   * whether other shards have tasks of the job although it requires a single shard. None of its tasks may start before
+   * they are reunited, since this shard does not see what the others have started.
+   */
+  isDivided: boolean;
+  /** whether the outcome of a migration of its tasks is not known yet */
+  isMigrating: boolean;
+  /** waiting tasks in that migration; they start nowhere until its outcome is known */
   migratingTasks: number[];
   /** time before which no further tasks of the job migrate */
   nextMigrationAt: number;
@@ -313,12 +321,6 @@
   readonly tasks: number;
 }
 
-/** The tasks from number `from` to the end of `range`, which may migrate to another shard. */
-export interface MigratableTasks {
-  readonly range: TaskRange;
-  readonly from: number;
-}
-
 /** Commands to one machine that are sent at once rather than with the answer to its next heartbeat. */
 export interface DirectCommandBatch {
   readonly machine: MachineState;
--- a/src/peers/shard-directory.ts
+++ b/src/peers/shard-directory.ts
@@ -166,10 +166,15 @@
   }
 
   /**
-   * Finds a shard other than `excluded` with capacity for tasks of the job, free or by preemption, and returns how
-   * many tasks fit. Prefers a shard where a feasible machine has cached the job's image; null if none has capacity.
+   * Finds a shard other than `excluded` with capacity for at least `minimumTasks` tasks of the job, free or by
+   * preemption, and returns how many fit. Prefers a shard where a feasible machine has cached the job's image;
+   * null if none has the capacity.
    */
-  shardWithFreeCapacity(spec: JobSpec, excluded: number): { shard: number; tasks: number } | null {
+  shardWithFreeCapacity(
+    spec: JobSpec,
+    excluded: number,
+    minimumTasks: number,
+  ): { shard: number; tasks: number } | null {
     const rank = PRIORITY_RANK[spec.priority];
     let best: { shard: number; tasks: number; hasImage: boolean } | null = null;
     for (let shard = 0; shard < this.shardCount; shard++) {
@@ -186,8 +191,8 @@
         (sum, capacity) => sum + fitCount(spec.demand, capacity) * capacity.count,
         0,
       );
+      if (tasks < minimumTasks) continue;
       const hasImage = feasible.some((capacity) => capacity.images.includes(spec.image));
-      if (tasks === 0) continue;
       if (best === null || (hasImage && !best.hasImage)) best = { shard, tasks, hasImage };
     }
     return best;
--- a/src/service/peer-exchange.ts
+++ b/src/service/peer-exchange.ts
@@ -65,8 +65,8 @@
     return {
       reachablePeerWithStore: () => this.reachablePeerWithStore(),
       incarnationWithStore: (node) => this.#incarnationWithStore(node),
-      shardWithFreeCapacity: (spec, excluded) =>
-        this.directory.shardWithFreeCapacity(spec, excluded),
+      shardWithFreeCapacity: (spec, excluded, minimumTasks) =>
+        this.directory.shardWithFreeCapacity(spec, excluded, minimumTasks),
       lessAllocatedShard: (spec, shard) => this.directory.lessAllocatedShard(spec, shard),
       imagesOf: (machine) => this.directory.imagesOf(machine),
       peerReceivingHeartbeats: (shard) => this.directory.peerReceivingHeartbeats(shard),
--- a/src/shards/peer-view.ts
+++ b/src/shards/peer-view.ts
@@ -10,10 +10,14 @@
 /** The capacity of the other shards. */
 export interface OtherShards {
   /**
-   * Returns a shard other than `excluded` with free capacity for tasks of the job, and the number of tasks; null if
-   * there is none.
+   * Returns a shard other than `excluded` with free capacity for at least `minimumTasks` tasks of the job, and the
+   * number of tasks; null if there is none.
    */
-  shardWithFreeCapacity(spec: JobSpec, excluded: number): MigrationDestination | null;
+  shardWithFreeCapacity(
+    spec: JobSpec,
+    excluded: number,
+    minimumTasks: number,
+  ): MigrationDestination | null;
   /**
    * Returns a shard whose capacity for such jobs is allocated much less than that of `shard`; null if there is none.
    */
--- a/src/shards/shard-controller.ts
+++ b/src/shards/shard-controller.ts
@@ -26,7 +26,7 @@
 import { OwnedShards } from './owned-shards.js';
 import { OwnershipReconciler } from './ownership-reconciler.js';
 import type { PeerView } from './peer-view.js';
-import { TaskMigration } from './task-migration.js';
+import { TaskMigration } from './task-migration/task-migration.js';
 
 /** The settings, clients, caches and clocks that `ShardController` passes to its control loops. */
 export interface ShardControllerDependencies {
--- a/src/users/job-service.ts
+++ b/src/users/job-service.ts
@@ -14,11 +14,9 @@
   splitIntoRanges,
   shardOfTeam,
   maxRangeTasks,
-  requiresSingleShard,
-  hasLimit,
-  hasGuarantee,
   type ShardLoad,
 } from '../core/jobs/jobs.js';
+import { hasGuarantee, hasLimit, requiresSingleShard } from '../core/jobs/single-shard.js';
 import type { JobRecord, JobSpec, MachineType, TaskRange, Team } from '../core/model.js';
 import { CALL_PRIORITY } from '../store/call-priority.js';
 import { StoreRequestError } from '../store/errors.js';
--- a/test/controller-scene.ts
+++ b/test/controller-scene.ts
@@ -52,9 +52,21 @@
 /** Lets pending calls to the store return. */
 export const flushStoreCalls = () => new Promise((resolve) => setImmediate(resolve));
 
+/** What differs from the scene's defaults. */
+export interface ControllerSceneOptions {
+  /** the job's record */
+  readonly record?: JobRecord;
+  readonly storeLimits?: Partial<PlatformConfig['storeLimits']>;
+  /** saved completions of shard 1 by the names of their ranges */
+  readonly completions?: Readonly<Record<string, string>>;
+  /** whether no other node is live, so that no shard fails back during the test */
+  readonly isAlone?: boolean;
+  readonly outcome?: ControllerScene['outcome'];
+}
+
 /**
  * A controller on node n0 that owns both shards. Shard 1, whose preferred node n1 is live again, has machine x and a
- * job with one task. Calls to the store can be made to fail.
+ * job, with one task unless a test sets another one. Calls to the store can be made to fail.
  */
 export class ControllerScene {
   now = 0;
@@ -71,9 +83,11 @@
   readonly controller: ShardController;
   #counter = 0;
 
-  constructor() {
+  constructor(options: ControllerSceneOptions = {}) {
+    const { record = job({}, TERM, 1), storeLimits, completions = {}, isAlone = false } = options;
+    if (options.outcome !== undefined) this.outcome = options.outcome;
     this.controller = new ShardController({
-      config: CONFIG,
+      config: { ...CONFIG, storeLimits: { ...CONFIG.storeLimits, ...storeLimits } },
       operator: parseOperatorConfig('', ''),
       incarnation: 'a',
       client: {
@@ -87,8 +101,13 @@
         reachablePeerWithStore: () => null,
         incarnationWithStore: (node) => (node === 'n1' ? 'b' : null),
         peerReceivingHeartbeats: () => null,
-        shardWithFreeCapacity: () => this.shardWithFreeCapacity,
-        lessAllocatedShard: () => this.lessAllocatedShard,
+        shardWithFreeCapacity: (_spec, excluded, minimumTasks) => {
+          const room = this.shardWithFreeCapacity;
+          if (room === null || room.shard === excluded) return null;
+          return room.tasks >= minimumTasks ? room : null;
+        },
+        lessAllocatedShard: (_spec, shard) =>
+          this.lessAllocatedShard === shard ? null : this.lessAllocatedShard,
         imagesOf: () => new Map(),
         cancellationsKnownUntil: () => this.cancellationsKnownUntil,
       },
@@ -99,7 +118,10 @@
       timeOfDay: () => 0,
       log: pino({ level: 'silent' }),
     });
-    const group = { ...machine('x', { shard: 1, term: TERM }), machines: new Map([['x', true]]) };
+    const group = {
+      ...machine('x', { shard: 1, term: TERM }),
+      machines: new Map([['x', true]]),
+    };
     this.cache.apply({
       isListing: true,
       revision: 20,
@@ -109,9 +131,10 @@
         watchChange('parts/0', { owner: 'n0', incarnation: 'a', term: 4 }, 9),
         watchChange('parts/1', SHARD_1, 10),
         watchChange('nodes/n0/a', { incarnation: 'a' }, 2),
-        watchChange('nodes/n1/b', { incarnation: 'b' }, 11),
+        ...(isAlone ? [] : [watchChange('nodes/n1/b', { incarnation: 'b' }, 11)]),
+        watchChange('done/1/0', completions, 11),
         watchChange('machines/g', encodeMachineGroup(group), 12),
-        jobChange(job({}, TERM, 1), 13),
+        jobChange(record, 13),
       ],
     });
     this.tick();
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -39,8 +39,9 @@
   scene.step([scene.shard]);
   const other = new Shard(1, tokensOf(scene.shard.tokens.last + 1), settings());
   const state = scene.shard.jobs.get(SCENE_JOB)!;
-  scene.shard.beginMigration(state, 0, 1);
-  scene.shard.endMigration(state, true, scene.now);
+  const ranges = [{ from: 0, to: 1, shard: 0, term: 1 }];
+  scene.shard.beginMigration(state, ranges);
+  scene.shard.endMigration(state, ranges, true, scene.now);
   scene.store.add(job({}, other.term, 1), machine('d', { shard: 1, term: other.term }));
   scene.workers.set('d', new FakeWorker('d', scene.world, RUN_MS, LEASE_MS, scene.now));
   return other;
--- a/test/shard.test.ts
+++ b/test/shard.test.ts
@@ -488,26 +488,27 @@
     const [workerA] = createWorkers(['a']);
     if (machines > 0) for (const now of [0, 600, 1200]) exchangeHeartbeat(shard, workerA!, now);
     const state = shard.jobs.get('job-000001')!;
-    const found = shard.migratableTasks(state, record);
-    assert.deepEqual(found === null ? null : [found.from, found.range.to], want, name);
-    if (found === null) continue;
-    shard.beginMigration(state, found.from, found.range.to);
+    const found = shard.migratableRanges(state, record);
+    const [first] = found;
+    assert.deepEqual(first === undefined ? null : [first.from, first.to], want, name);
+    if (first === undefined) continue;
+    shard.beginMigration(state, found);
     shard.placeAll(2000);
     assert.equal(state.waitingTasks.size, 0, 'its tasks start nowhere meanwhile');
-    assert.equal(shard.migratableTasks(state, record), null, 'no second migration meanwhile');
-    shard.endMigration(state, false, 3000);
+    assert.deepEqual(shard.migratableRanges(state, record), [], 'no second migration meanwhile');
+    shard.endMigration(state, found, false, 3000);
     assert.equal(
       state.waitingTasks.size,
-      found.range.to - found.from,
+      first.to - first.from,
       'after a failed migration the tasks wait again',
     );
   }
   const inherited = job({ tasks: 2 }, 1);
   const later = shardWith(new Store().add(inherited, machine('a')), 2);
   const state = later.jobs.get('job-000001')!;
-  assert.equal(
-    later.migratableTasks(state, inherited),
-    null,
+  assert.deepEqual(
+    later.migratableRanges(state, inherited),
+    [],
     'an inherited task may run on a machine that has not answered',
   );
 });
