Room in another shard is counted for the whole job, zone by zone

ShardDirectory summed up the capacity that fits single tasks, whatever their job says of zones, and routing took a shard as having room for a gang if one of its tasks fitted.

Change: zones.ts tells how many tasks of a job fit together (the best zone for OneZone, at most half in each zone for Spread); the directory and the capacity plan both ask it. For a gang, routing prefers shards where all of it fits.

Evidence: test/shard-directory.test.ts, a table of eight cases.

--- a/src/core/capacity/reachable-capacity.ts
+++ b/src/core/capacity/reachable-capacity.ts
@@ -6,7 +6,7 @@
 import { MAX_TASKS_PER_MACHINE } from '../constants.js';
 import type { JobState, MachineState } from '../shard/types.js';
 import { add, fitCount, ZERO_RESOURCES, type MachineType, type Resources } from '../model.js';
-import { tasksAllowedInZone } from '../placement/zones.js';
+import { tasksAllowedInZone, tasksThatFitZones } from '../placement/zones.js';
 
 /** A rental that has not been answered yet. */
 export interface PendingRental {
@@ -91,10 +91,7 @@
       if (mayUse(job, type.name, spot)) addTasks(zone, fitCount(spec.demand, type) * count);
     }
     if (isService || job.avoidedMachines.size > 0) this.#addByMachine(job, addTasks);
-    const allowed = [...tasksByZone].map(([zone, tasks]) =>
-      Math.min(tasks, tasksAllowedInZone(job, zone)),
-    );
-    return spec.oneZone ? Math.max(0, ...allowed) : allowed.reduce((sum, tasks) => sum + tasks, 0);
+    return tasksThatFitZones(spec, tasksByZone, (zone) => tasksAllowedInZone(job, zone));
   }
 
   /** Adds the replicas that fit each machine, or for other jobs subtracts the machines that the job avoids. */
--- a/src/core/jobs/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -105,9 +105,9 @@
   readonly shard: number;
   /** allocation ratio of the shard, waiting tasks included */
   readonly load: number;
-  /** the demand of a task fits on a machine of the shard now */
+  /** a task of the job, or all tasks of a gang, would fit in the shard now */
   readonly fitsNow: boolean;
-  /** a machine on which the demand fits now holds the image of the job */
+  /** they fit now, and a machine on which a task fits holds the image of the job */
   readonly hasImage: boolean;
 }
 
--- a/src/peers/shard-directory.ts
+++ b/src/peers/shard-directory.ts
@@ -7,6 +7,7 @@
 import { loadIndex } from '../core/capacity/allocation-ratio.js';
 import type { ShardLoad } from '../core/jobs/jobs.js';
 import { fits, PRIORITY_RANK, fitCount, type JobSpec, type Resources } from '../core/model.js';
+import { maxTasksPerZone, tasksThatFitZones } from '../core/placement/zones.js';
 import type { MachineState, Shard } from '../core/shard/shard.js';
 import type { PeerStatus, FreeCapacity } from './frames.js';
 
@@ -33,6 +34,16 @@
   (spec.zone === null || spec.zone === capacity.zone) &&
   (!capacity.spot || spec.spot);
 
+/** Returns how many tasks of the job fit together into feasible capacity, within its zone constraints. */
+const tasksThatFit = (spec: JobSpec, feasible: readonly FreeCapacity[]): number => {
+  const tasksByZone = new Map<string, number>();
+  for (const capacity of feasible) {
+    const tasks = fitCount(spec.demand, capacity) * capacity.count;
+    tasksByZone.set(capacity.zone, (tasksByZone.get(capacity.zone) ?? 0) + tasks);
+  }
+  return tasksThatFitZones(spec, tasksByZone, () => maxTasksPerZone(spec));
+};
+
 /**
  * Lists the free capacity of a shard, with identical machines grouped: after many machines have booted at once, a
  * hundred of them may be free.
@@ -145,7 +156,7 @@
     };
   }
 
-  /** Returns the load of every shard for the job, and whether a task of the job would fit on a machine there now. */
+  /** Returns the load of every shard for the job, and whether a task of it, or all of a gang, would fit there now. */
   loads(spec: JobSpec): ShardLoad[] {
     const rank = PRIORITY_RANK[spec.priority];
     const shardLoads: ShardLoad[] = [];
@@ -159,15 +170,16 @@
       const fitting = this.#freeCapacity(shard).filter(
         (capacity) => capacity.minimumRank === 0 && isFeasible(spec, capacity),
       );
-      const hasImage = fitting.some((capacity) => capacity.images.includes(spec.image));
-      shardLoads.push({ shard, load, fitsNow: fitting.length > 0, hasImage });
+      const fitsNow = tasksThatFit(spec, fitting) >= (spec.kind === 'gang' ? spec.tasks : 1);
+      const hasImage = fitsNow && fitting.some((capacity) => capacity.images.includes(spec.image));
+      shardLoads.push({ shard, load, fitsNow, hasImage });
     }
     return shardLoads;
   }
 
   /**
    * Finds a shard other than `excluded` with capacity for at least `minimumTasks` tasks of the job, free or by
-   * preemption, and returns how many fit. Prefers a shard where a feasible machine has cached the job's image;
+   * preemption, and returns how many fit together. Prefers a shard where a feasible machine has cached the job's image;
    * null if none has the capacity.
    */
   shardWithFreeCapacity(
@@ -187,10 +199,7 @@
           : own.waitingTasks(rank, this.now());
       if (waiting > 0) continue;
       const feasible = this.#freeCapacity(shard).filter((capacity) => isFeasible(spec, capacity));
-      const tasks = feasible.reduce(
-        (sum, capacity) => sum + fitCount(spec.demand, capacity) * capacity.count,
-        0,
-      );
+      const tasks = tasksThatFit(spec, feasible);
       if (tasks < minimumTasks) continue;
       const hasImage = feasible.some((capacity) => capacity.images.includes(spec.image));
       if (best === null || (hasImage && !best.hasImage)) best = { shard, tasks, hasImage };
--- a/test/shard-directory.test.ts
+++ b/test/shard-directory.test.ts
@@ -66,6 +66,63 @@
   }
 });
 
+/** Free capacity of `count` machines in a zone, each for two tasks of a job of the default demand. */
+const freeIn = (zone: string, count: number): ShardStatus['freeCapacity'][number] => ({
+  ...{ cpus: 8, gpus: 2, memoryGb: 64, type: 'm', zone, spot: false },
+  ...{ minimumRank: 0, count, images: [] },
+});
+
+const announcedRoom = (shard: number, ...zones: [zone: string, machines: number][]): PeerStatus =>
+  peerStatus(`n${shard}`, [
+    {
+      ...announcedShard(shard, 0.1),
+      waiting: Array.from({ length: RANKS }, () => 0),
+      freeCapacity: zones.map(([zone, machines]) => freeIn(zone, machines)),
+    },
+  ]);
+
+// Guards against a gang that goes to a shard where some of its tasks fit, or fit only in two zones together.
+test('the room of another shard is that for the whole job, within its zone constraints (table)', () => {
+  const split = announcedRoom(1, ['z', 1], ['y', 1]);
+  const large = announcedRoom(2, ['z', 2], ['y', 1]);
+  const gang = { kind: 'gang', tasks: 4 } as const;
+  const cases: [string, Parameters<typeof spec>[0], PeerStatus[], number, number | null][] = [
+    ['an array takes the first room', { tasks: 9 }, [split, large], 1, 1],
+    ['a gang in both zones', gang, [split, large], 4, 1],
+    ['a gang in one zone passes over the first', { ...gang, oneZone: true }, [split, large], 4, 2],
+    ['a gang that fits in one zone nowhere', { ...gang, oneZone: true }, [split], 4, null],
+    ['a spread gang', { ...gang, spread: true }, [split], 4, 1],
+    [
+      'a spread gang of which half fits',
+      { ...gang, spread: true },
+      [announcedRoom(1, ['z', 2])],
+      4,
+      null,
+    ],
+    ['an array in one zone of which some fits', { tasks: 9, oneZone: true }, [split], 2, 1],
+    [
+      'an array in one zone that has more on its way',
+      { tasks: 9, oneZone: true },
+      [split],
+      3,
+      null,
+    ],
+  ];
+  for (const [name, overrides, peers, minimum, expected] of cases) {
+    const directory = createDirectory(peers);
+    const found = directory.shardWithFreeCapacity(spec(overrides), 0, minimum);
+    assert.equal(found?.shard ?? null, expected, name);
+    const isGang = overrides?.kind === 'gang';
+    const fitting = directory.loads(spec(overrides)).filter(({ fitsNow }) => fitsNow);
+    if (isGang)
+      assert.equal(
+        fitting.some(({ shard }) => shard === 1),
+        expected === 1,
+        `${name}: routing`,
+      );
+  }
+});
+
 test('progress of a job sums up what the peers announce of shards that this node does not own', () => {
   const jobsOfN1 = [
     { uid: 'job-000007', running: 2, done: 3, shard: 1 },
