A whole job does not leave machines that boot for it

BootS is 50 s on the deployments, balancing comes after 10 s.

Cause: balancing compares loads. A shard without machines or work always looks less allocated than the one that rents for the job, and a move gives up what is on its way.

Change, for jobs that stay in one shard: machines that boot, for up to 1.5 times BootS, are shared out among the waiting jobs in the order of the queue (core/capacity/booting-capacity.ts). A job that gets some is not balanced, and goes to room elsewhere only if as many of its tasks fit there; a gang wherever all of it fits. A machine later than that counts no longer, so that a job whose machine never comes still reaches another shard.

--- a/src/core/capacity/constants.ts
+++ b/src/core/capacity/constants.ts
@@ -6,6 +6,9 @@
 /** multiple of the nominal boot time after which a machine that never reported is returned */
 export const BOOT_TIMEOUT_FACTOR = 2.2;
 
+/** multiple of the nominal boot time up to which most machines come up; later ones are not waited for */
+export const USUAL_BOOT_FACTOR = 1.5;
+
 /** number of jobs remembered so that none is counted twice, before ended jobs are removed from that set */
 export const COUNTED_JOBS_LIMIT = 20_000;
 
--- a/src/core/capacity/reachable-capacity.ts
+++ b/src/core/capacity/reachable-capacity.ts
@@ -24,7 +24,8 @@
   count: number;
 }
 
-const mayUse = ({ spec }: JobState, type: string, spot: boolean): boolean =>
+/** Whether the type and the market of a machine suit the job. */
+export const mayUse = ({ spec }: JobState, type: string, spot: boolean): boolean =>
   (spec.spot || !spot) && (spec.types === null || spec.types.includes(type));
 
 /**
--- a/src/core/placement/scheduler.ts
+++ b/src/core/placement/scheduler.ts
@@ -33,6 +33,11 @@
     return orderedQueue(this.state, this.quotas, now);
   }
 
+  /** The jobs that could not be placed completely in the last full pass, most urgent first. */
+  get unschedulableJobs(): readonly JobState[] {
+    return this.#lastFullPass?.unschedulable ?? [];
+  }
+
   /** Cancels reservations for jobs that have ended or have no waiting tasks. */
   #dropStaleReservations(): void {
     for (const machine of this.state.machines.values()) {
--- a/src/core/shard/shard.ts
+++ b/src/core/shard/shard.ts
@@ -3,6 +3,7 @@
  * resulting commands. The caller passes the time in monotonic milliseconds. Nothing here does input or output.
  */
 import { allocationRatios } from '../capacity/allocation-ratio.js';
+import { tasksAwaitingBoots } from '../capacity/booting-capacity.js';
 import type { Command, Heartbeat, JobRecord, ReportedTask, TaskRange } from '../model.js';
 import { Quotas } from '../placement/quotas.js';
 import { Scheduler } from '../placement/scheduler.js';
@@ -233,6 +234,11 @@
     migration.endMigration(job, ranges, succeeded, now);
   }
 
+  /** Returns how many waiting tasks of each job get capacity on machines that are expected to come up soon. */
+  tasksAwaitingBoots(now: number): ReadonlyMap<JobState, number> {
+    return tasksAwaitingBoots(this.#scheduler.unschedulableJobs, this.machines.values(), now);
+  }
+
   // --- state -------------------------------------------------------------------------------------
 
   get jobs(): ReadonlyMap<string, JobState> {
--- a/src/shards/task-migration/migration-planner.ts
+++ b/src/shards/task-migration/migration-planner.ts
@@ -22,6 +22,8 @@
 
 /** Plans migrations of the tasks of one shard at one moment. */
 export class MigrationPlanner {
+  #awaitingBoots: ReadonlyMap<JobState, number> | null = null;
+
   constructor(
     private readonly dependencies: MigrationPlannerDependencies,
     private readonly shard: Shard,
@@ -110,11 +112,13 @@
   }
 
   /**
-   * Returns a shard with free capacity for the job, or null. For a gang all of it must fit there.
+   * Returns a shard with free capacity for the job, or null. For a gang all of it must fit there. For another job that
+   * stays in one shard at least as many tasks must fit as will get capacity here on machines that boot.
    */
   #roomFor(job: JobState): MigrationDestination | null {
     const { spec } = job;
-    const minimumTasks = spec.kind === 'gang' ? spec.tasks : 1;
+    const minimumTasks =
+      spec.kind === 'gang' ? spec.tasks : Math.max(1, this.#tasksAwaitingBoots(job));
     return this.dependencies.otherShards.shardWithFreeCapacity(
       spec,
       this.shard.index,
@@ -126,7 +130,15 @@
   #balancingDestination(job: JobState): MigrationDestination | null {
     const since = job.unschedulableSince;
     if (!this.mayBalance || since === null || this.now - since < BALANCING_DELAY_MS) return null;
+    if (this.#tasksAwaitingBoots(job) > 0) return null;
     const shard = this.dependencies.otherShards.lessAllocatedShard(job.spec, this.shard.index);
     return shard === null ? null : { shard, tasks: Infinity };
   }
+
+  /** Returns how many tasks of a job that stays in one shard get capacity on machines that boot in this shard. */
+  #tasksAwaitingBoots(job: JobState): number {
+    if (!job.requiresSingleShard) return 0;
+    this.#awaitingBoots ??= this.shard.tasksAwaitingBoots(this.now);
+    return this.#awaitingBoots.get(job) ?? 0;
+  }
 }
--- a/src/shards/task-migration/task-migration.ts
+++ b/src/shards/task-migration/task-migration.ts
@@ -5,7 +5,8 @@
  *
  * While no shard has free capacity, tasks that have waited for a long time are balanced: they migrate to a shard that
  * is allocated far less. Otherwise tasks could be stuck in a shard whose owner began to rent late and so gets no
- * machines; an array job has ranges in most shards.
+ * machines; an array job has ranges in most shards. A job that requires a single shard stays while its shard has
+ * machines on their way for it.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fencedCompareAndSwap } from '@sumacstep/leader-election';
--- a/test/controller-scene.ts
+++ b/test/controller-scene.ts
@@ -61,6 +61,8 @@
   readonly completions?: Readonly<Record<string, string>>;
   /** whether no other node is live, so that no shard fails back during the test */
   readonly isAlone?: boolean;
+  /** whether machine x has been up; true by default */
+  readonly isMachineUp?: boolean;
   readonly outcome?: ControllerScene['outcome'];
 }
 
@@ -85,6 +87,7 @@
 
   constructor(options: ControllerSceneOptions = {}) {
     const { record = job({}, TERM, 1), storeLimits, completions = {}, isAlone = false } = options;
+    const { isMachineUp = true } = options;
     if (options.outcome !== undefined) this.outcome = options.outcome;
     this.controller = new ShardController({
       config: { ...CONFIG, storeLimits: { ...CONFIG.storeLimits, ...storeLimits } },
@@ -120,7 +123,7 @@
     });
     const group = {
       ...machine('x', { shard: 1, term: TERM }),
-      machines: new Map([['x', true]]),
+      machines: new Map([['x', isMachineUp]]),
     };
     this.cache.apply({
       isListing: true,
--- a/test/whole-jobs.test.ts
+++ b/test/whole-jobs.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
+import { USUAL_BOOT_FACTOR } from '../src/core/capacity/constants.js';
 import { encodeDone } from '../src/core/jobs/jobs.js';
 import { isDivided, requiresSingleShard } from '../src/core/jobs/single-shard.js';
 import type { JobRecord, JobSpec, TaskRange } from '../src/core/model.js';
@@ -22,7 +23,7 @@
   TERM,
 } from './controller-scene.js';
 import { seededRandomInt } from '../src/random.js';
-import { job, settings } from './helpers.js';
+import { job, machineType, settings } from './helpers.js';
 
 /** Term of shard 0 in the scene. */
 const TERM_0 = 4;
@@ -158,6 +159,82 @@
     }),
   );
 
+interface BootCase {
+  readonly name: string;
+  /** priority of another array that waits for the same machines; null: there is none */
+  readonly rival: JobSpec['priority'] | null;
+  readonly job: Partial<JobSpec>;
+  readonly room: number | null;
+  /** s after which the job migrates */
+  readonly leavesAtS: number;
+}
+
+/** Boot time of the machines of the scene, and the time up to which a machine is waited for. */
+const BOOT_S = machineType().bootS;
+const LATE_S = BOOT_S * USUAL_BOOT_FACTOR;
+const BOOT_CASE_END_S = LATE_S + 20;
+
+const BOOT_CASES: BootCase[] = [
+  ...[ONE_ZONE, SPREAD, SERVICE].map((spec) => ({
+    name: `${JSON.stringify(spec)}, a machine boots in time`,
+    ...{ rival: null, job: { ...spec, tasks: 8 }, room: null, leavesAtS: LATE_S },
+  })),
+  {
+    name: 'a gang that fits on the machine that boots',
+    ...{ rival: null, job: { ...GANG, tasks: 2 }, room: null, leavesAtS: LATE_S },
+  },
+  {
+    name: 'a gang that needs more than the machine that boots',
+    ...{
+      rival: null,
+      job: { ...GANG, tasks: 3 },
+      room: null,
+      leavesAtS: BALANCING_DELAY_MS / 1000,
+    },
+  },
+  {
+    name: 'the machine is for a more urgent job',
+    ...{ rival: 'high', job: ONE_ZONE, room: null, leavesAtS: BALANCING_DELAY_MS / 1000 },
+  },
+  {
+    name: 'a less urgent job waits, too',
+    ...{ rival: 'low', job: ONE_ZONE, room: null, leavesAtS: LATE_S },
+  },
+  {
+    name: 'room for as many tasks as the machine will take',
+    ...{ rival: null, job: { ...ONE_ZONE, tasks: 8 }, room: 2, leavesAtS: 1.5 },
+  },
+  {
+    name: 'room for fewer tasks than the machine will take',
+    ...{ rival: null, job: { ...ONE_ZONE, tasks: 8 }, room: 1, leavesAtS: LATE_S },
+  },
+  {
+    name: 'room for all of a gang',
+    ...{ rival: null, job: { ...GANG, tasks: 2 }, room: 2, leavesAtS: 1.5 },
+  },
+];
+
+// Guards against jobs that go back and forth between shards, each of which rents anew, while their machines boot.
+test('a whole job leaves machines that boot for it only for room, or once they are late (table)', async (t) => {
+  for (const { name, rival, job: overrides, room, leavesAtS } of BOOT_CASES) {
+    const record = job({ tasks: 2, ...overrides }, TERM, 1);
+    const scene = openScene(t, { record, isMachineUp: false });
+    if (rival !== null) {
+      const other = job({ uid: 'job-000002', tasks: 2, priority: rival }, TERM, 1);
+      scene.showChanges(22, [jobChange(other, 22)]);
+    }
+    if (room === null) scene.lessAllocatedShard = 0;
+    else scene.shardWithFreeCapacity = { shard: 0, tasks: room };
+    let leftAtS: number | null = null;
+    for (let now = 0; now <= BOOT_CASE_END_S * 1000 && leftAtS === null; now += 500) {
+      await scene.tickAt(now);
+      if (shardsOf(scene)[0] === 0) leftAtS = now / 1000;
+    }
+    const delayS = leftAtS === null ? null : leftAtS - leavesAtS;
+    assert.ok(delayS !== null && delayS >= 0 && delayS <= 1, `${name}: left at ${leftAtS} s`);
+  }
+});
+
 test('completions migrate with the job, so that no completed task starts again', async (t) => {
   const done = new Set([0, 1, 17]);
   // No machine of the scene is in this zone.
