Direct commands of the controller scene go to loopback

The scene's machine had the address a:1, so each direct command and probe asked for a host name, and a test of many rounds ended only 12 s after its last check.

--- a/test/controller-scene.ts
+++ b/test/controller-scene.ts
@@ -197,7 +197,7 @@
     this.#counter += 1;
     return this.controller.handleHeartbeat({
       machine: 'x',
-      address: 'a:1',
+      address: '127.0.0.1:1',
       type: 'm',
       zone: 'z',
       spot: false,
