Test: a job that the version in production has divided runs in one zone

Whole controllers, two zones, a OneZone array as the older version stored it: ranges in two shards, a completion in the second; the owner of the first shard ends meanwhile.

--- a/test/mixed-versions.test.ts
+++ b/test/mixed-versions.test.ts
@@ -12,6 +12,7 @@
 import { encodeJob } from '../src/store/codecs/job.js';
 import { job } from './helpers.js';
 import { Cluster, type ClusterOptions } from './standins/cluster.js';
+import type { JobConstraints } from './standins/worker.js';
 
 const LEASE_S = 12;
 const CANCEL_S = 26;
@@ -23,6 +24,8 @@
   readonly options?: Partial<ClusterOptions>;
   /** tasks that the seeded values record as completed, by uid of the job */
   readonly completed?: ReadonlyMap<string, ReadonlySet<number>>;
+  /** constraints of the seeded jobs, by uid */
+  readonly constraints?: ReadonlyMap<string, JobConstraints>;
   readonly jobs: readonly Record<string, unknown>[];
   readonly scenario: (cluster: Cluster, uids: readonly string[]) => Promise<void>;
 }
@@ -65,6 +68,28 @@
 const SEEDED = seededArrays([0]);
 const SEEDED_TWICE = seededArrays([0, 1]);
 
+const DIVIDED_UID = 'job-910000';
+
+/** Returns a job in one zone whose ranges the old version has left in two shards, with a completion in the second. */
+const dividedJob = () => {
+  const demand = { cpus: 1, gpus: 0, memoryGb: 1 };
+  const record = job({ uid: DIVIDED_UID, tasks: 40, demand, estimateS: 20, oneZone: true }, 0);
+  const ranges = [0, 1].map((shard) => ({ from: shard * 20, to: 20 + shard * 20, shard, term: 0 }));
+  const done = new Set([20]);
+  const values = {
+    [`active/${DIVIDED_UID}`]: encodeJob({ ...record, at: Date.now(), ranges }),
+    'done/1/0': { [`${DIVIDED_UID}/20`]: encodeDone(ranges[1]!, done) },
+  };
+  const constraints = { team: 't', tasks: 40, cpus: 1, zone: null, oneZone: true, spread: false };
+  return {
+    values,
+    completed: new Map([[DIVIDED_UID, done]]),
+    constraints: new Map([[DIVIDED_UID, constraints]]),
+  };
+};
+
+const DIVIDED = dividedJob();
+
 const slotKeysOf = (cluster: Cluster, shard: number): string[] =>
   [...cluster.store.items.keys()].filter((k) => k.startsWith(`done/${shard}/`));
 
@@ -201,6 +226,19 @@
       cluster.cloud.maxMachines = Infinity;
     },
   },
+  {
+    // The old version moved one range of a job that has to stay whole. Two new owners would choose a zone each.
+    name: 'the old version has divided a job in one zone: it runs in one zone, also when an owner ends meanwhile',
+    options: { zones: ['y', 'z'], runMs: 3000, initialValues: DIVIDED.values },
+    completed: DIVIDED.completed,
+    constraints: DIVIDED.constraints,
+    jobs: [{ ...SMALL_JOB, Pieces: 16 }],
+    scenario: async (cluster) => {
+      cluster.kill('n0');
+      await cluster.runFor(1);
+      await cluster.start('n0', 'current');
+    },
+  },
   {
     // The old version exits when a value is refused, restarts and exits again. The present version has split its
     // values before, and continues when it owns the shard again.
@@ -268,6 +306,8 @@
         cluster.world.completed.set(uid, new Set(done));
       const { initialValues: seed = {} } = versionCase.options ?? {};
       try {
+        for (const [uid, constraints] of versionCase.constraints ?? [])
+          cluster.world.jobs.set(uid, constraints);
         await cluster.open();
         const uids: string[] = [];
         for (const [index, body] of versionCase.jobs.entries())
