Test: replicas of a divided service are stopped outside its home shard

Tasks of an array are not: they end by themselves, and keep their work. An owner that adopted them keeps its ranges until the last one is gone.

--- a/test/controller-scene.ts
+++ b/test/controller-scene.ts
@@ -63,6 +63,8 @@
   readonly isAlone?: boolean;
   /** whether machine x has been up; true by default */
   readonly isMachineUp?: boolean;
+  /** whether an earlier owner may have started tasks on machine x; false by default */
+  readonly isMachineInherited?: boolean;
   readonly outcome?: ControllerScene['outcome'];
 }
 
@@ -87,7 +89,8 @@
 
   constructor(options: ControllerSceneOptions = {}) {
     const { record = job({}, TERM, 1), storeLimits, completions = {}, isAlone = false } = options;
-    const { isMachineUp = true } = options;
+    const { isMachineUp = true, isMachineInherited = false } = options;
+    const machineTerm = isMachineInherited ? TERM - 1 : TERM;
     if (options.outcome !== undefined) this.outcome = options.outcome;
     this.controller = new ShardController({
       config: { ...CONFIG, storeLimits: { ...CONFIG.storeLimits, ...storeLimits } },
@@ -122,7 +125,7 @@
       log: pino({ level: 'silent' }),
     });
     const group = {
-      ...machine('x', { shard: 1, term: TERM }),
+      ...machine('x', { shard: 1, term: machineTerm }),
       machines: new Map([['x', isMachineUp]]),
     };
     this.cache.apply({
--- a/test/whole-jobs.test.ts
+++ b/test/whole-jobs.test.ts
@@ -7,6 +7,7 @@
 import { USUAL_BOOT_FACTOR } from '../src/core/capacity/constants.js';
 import { encodeDone } from '../src/core/jobs/jobs.js';
 import { isDivided, requiresSingleShard } from '../src/core/jobs/single-shard.js';
+import { ATTEMPTS_PER_TERM } from '../src/core/shard/constants.js';
 import type { JobRecord, JobSpec, TaskRange } from '../src/core/model.js';
 import {
   BALANCING_DELAY_MS,
@@ -342,6 +343,38 @@
   await Promise.all(DIVIDED_CASES.map(play));
 });
 
+// Replicas never end, so a divided service would stay divided; tasks of an array do, and keep their work.
+test('replicas of a divided service are stopped outside its home shard, tasks of an array are not (table)', async (t) => {
+  for (const [spec, stops] of [
+    [SERVICE, true],
+    [ONE_ZONE, false],
+  ] as const) {
+    const record = jobInRanges(spec, 2, [0, 1]);
+    const ranges = record.ranges.map((range) => ({ ...range, term: 1 }));
+    const scene = openScene(t, { record: { ...record, ranges }, isMachineInherited: true });
+    const running = {
+      uid: JOB,
+      index: 2,
+      attempt: ATTEMPTS_PER_TERM + 1,
+      state: 'running',
+    } as const;
+    const tasks = [{ ...running, why: null, saved: false }];
+    scene.heartbeat({ tasks });
+    await scene.tickAt(MIGRATION_INTERVAL_MS);
+    const response = scene.heartbeat({ tasks });
+    const commands = response.kind === 'answer' ? response.commands : [];
+    assert.equal(
+      commands.some(({ op }) => op === 'stop'),
+      stops,
+      JSON.stringify(spec),
+    );
+    assert.deepEqual(shardsOf(scene), [0, 1], 'a task of it is still here');
+    scene.heartbeat();
+    await scene.tickAt(3 * MIGRATION_INTERVAL_MS);
+    assert.deepEqual(shardsOf(scene), [0, 0], 'the last one is gone');
+  }
+});
+
 const RANDOM_SEEDS = 60;
 const RANDOM_ROUNDS = 40;
 const RANDOM_JOBS = 6;
