--- a/src/shards/constants.ts
+++ b/src/shards/constants.ts
@@ -30,8 +30,8 @@
 /** Interval at which a shard searches for tasks to migrate; peers announce their capacity about once a second. */
 export const MIGRATION_INTERVAL_MS = 500;
 
-/** Most searches for room in other shards at a time; jobs that need the same kind of room share one. */
-export const MAX_ROOM_SEARCHES = 10;
+/** Maximum number of jobs considered in one search, those that have waited longest first. */
+export const MAX_MIGRATION_CANDIDATES = 10;
 
 /** Tasks that wait this long while no shard has free capacity may migrate to a shard that is less allocated. */
 export const BALANCING_DELAY_MS = 10_000;
--- a/src/shards/task-migration/migration-planner.ts
+++ b/src/shards/task-migration/migration-planner.ts
@@ -6,8 +6,8 @@
 import type { Cached, WatchCache } from '../../store/watch-cache.js';
 import {
   BALANCING_DELAY_MS,
+  MAX_MIGRATION_CANDIDATES,
   MAX_RANGES_PER_JOB,
-  MAX_ROOM_SEARCHES,
   MIGRATION_DELAY_MS,
 } from '../constants.js';
 import type { MigrationDestination, OtherShards } from '../peer-view.js';
@@ -22,10 +22,6 @@
 
 /** Plans migrations of the tasks of one shard at one moment. */
 export class MigrationPlanner {
-  /** keys of the searches for room that found none; see `searchKey` */
-  readonly #withoutRoom = new Set<string>();
-  /** searches for room in other shards so far */
-  #searches = 0;
   #awaitingBoots: ReadonlyMap<JobState, number> | null = null;
 
   constructor(
@@ -38,10 +34,12 @@
 
   /** Returns the migration of the job that has waited longest among those that can migrate, or null. */
   next(): Migration | null {
+    let candidates = 0;
     for (const job of this.shard.jobs.values()) {
       const record = this.#candidateRecord(job);
       if (record === undefined) continue;
-      if (this.#searches >= MAX_ROOM_SEARCHES) return null;
+      candidates += 1;
+      if (candidates > MAX_MIGRATION_CANDIDATES) return null;
       const migration = this.#plan(job, record);
       if (migration !== null) return migration;
     }
@@ -121,13 +119,11 @@
     const { spec } = job;
     const minimumTasks =
       spec.kind === 'gang' ? spec.tasks : Math.max(1, this.#tasksAwaitingBoots(job));
-    const key = searchKey(job, minimumTasks);
-    if (this.#withoutRoom.has(key)) return null;
-    this.#searches += 1;
-    const { otherShards } = this.dependencies;
-    const room = otherShards.shardWithFreeCapacity(spec, this.shard.index, minimumTasks);
-    if (room === null) this.#withoutRoom.add(key);
-    return room;
+    return this.dependencies.otherShards.shardWithFreeCapacity(
+      spec,
+      this.shard.index,
+      minimumTasks,
+    );
   }
 
   /** Returns a less allocated shard if tasks of the job may migrate there without free capacity, else null. */
@@ -146,13 +142,3 @@
     return this.#awaitingBoots.get(job) ?? 0;
   }
 }
-
-/** Returns a key that is equal for jobs that find room in the same shards. */
-const searchKey = ({ spec, constraintKey, priorityRank }: JobState, minimumTasks: number): string =>
-  JSON.stringify([
-    constraintKey,
-    priorityRank,
-    spec.demand,
-    minimumTasks,
-    spec.spread && spec.tasks,
-  ]);
