--- a/test/mixed-versions.test.ts
+++ b/test/mixed-versions.test.ts
@@ -73,12 +73,19 @@
   for (const [index, kind] of kinds.entries()) {
     const uid = `job-91000${index}`;
     const demand = { cpus: 1, gpus: 0, memoryGb: 1 };
-    const ranges = [0, 1].map((shard) => ({ from: shard * 8, to: shard * 8 + 8, shard, term: 0 }));
-    const record = { ...job({ uid, tasks: 16, demand, estimateS: 20, ...kind }), ranges };
+    const ranges = [0, 1].map((shard) => ({
+      from: shard * 20,
+      to: shard * 20 + 20,
+      shard,
+      term: 0,
+    }));
+    const record = { ...job({ uid, tasks: 40, demand, estimateS: 20, ...kind }), ranges };
     values[`active/${uid}`] = encodeJob({ ...record, at: Date.now() });
-    if (kind.kind !== 'gang') slot[`${uid}/8`] = encodeDone(ranges[1]!, new Set([8, 9]));
+    if (kind.kind !== 'gang') slot[`${uid}/20`] = encodeDone(ranges[1]!, new Set([20, 21]));
   }
-  const completed = new Map(Object.keys(slot).map((name) => [name.slice(0, -2), new Set([8, 9])]));
+  const completed = new Map(
+    Object.keys(slot).map((name) => [name.slice(0, -3), new Set([20, 21])]),
+  );
   return { values: { ...values, 'done/1/0': slot }, completed };
 };
 
