--- a/test/whole-jobs.test.ts
+++ b/test/whole-jobs.test.ts
@@ -165,12 +165,14 @@
 
 const NEVER = [false, false] as const;
 const DIVIDED_CASES: DividedCase[] = [
-  ...[...KINDS].map(([name, kind]): DividedCase => [name, kind, [0, 1], [0, 0], NEVER]),
+  ...[...KINDS].flatMap(([name, kind]): DividedCase[] => [
+    [`${name}, begun elsewhere`, kind, [0, 1], [0, 0], NEVER],
+    [`${name}, begun here`, kind, [1, 0], [1, 1], [false, true]],
+  ]),
   ['a team with a limit', LIMITED, [0, 1], [0, 0], NEVER],
   ['ranges of two shards in turn', ONE_ZONE, [0, 1, 0, 1], [0, 0, 0, 0], NEVER],
   ['a range that is complete in part', ONE_ZONE, [0, 1], [0, 0], NEVER, [3]],
   ['a range that is complete', ONE_ZONE, [0, 1], [0, 0], NEVER, [2, 3]],
-  ['the first range in the own shard', ONE_ZONE, [1, 0], [1, 1], [false, true]],
   ['an ordinary array may be in two shards', {}, [0, 1], [0, 1], [true, true]],
 ];
 
